--- a/src/bin/firdrum-simhost.rs
+++ b/src/bin/marlgap-simhost.rs
@@ -5,10 +5,10 @@
 fn main() -> ExitCode {
     let mut input = BufReader::new(stdin().lock());
     let mut output = BufWriter::new(stdout().lock());
-    match firdrum::wire::serve(&mut input, &mut output) {
+    match marlgap::wire::serve(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("firdrum-simhost: {error}");
+            eprintln!("marlgap-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,8 +5,8 @@
 //! any clock that only goes forward. Nothing here is told of the transport.
 //!
 //! ```
-//! use firdrum::interface::*;
-//! use firdrum::Balancer;
+//! use marlgap::interface::*;
+//! use marlgap::Balancer;
 //!
 //! let class = Class {
 //!     aim: 0.5, deadline: 2.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,10 @@
 //!
 //! [`Balancer`] decides; [`interface`] holds the plain types that go in and come out.
 pub mod balance;
+pub mod core;
 pub mod interface;
+pub mod net;
+pub mod settings;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,115 @@
+//! One co-ordinator: configuration, signals and wiring.
+mod config;
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use slog::{info, Drain, Logger};
+
+use config::{Config, ConfigError};
+use marlgap::core::Core;
+use marlgap::interface::News;
+use marlgap::net::discovery::Discovery;
+use marlgap::net::front::{Acceptor, Closing, Front};
+use marlgap::net::nodes::Nodes;
+
+/// After SIGTERM, new connections keep coming until the platform's front has noticed.
+const STILL_COMING: Duration = Duration::from_millis(550);
+/// Time between lines of counts.
+const COUNTS_EVERY: Duration = Duration::from_secs(10);
+/// Log lines that may wait for a slow reader; more are dropped and counted.
+const LOG_LINES: usize = 2048;
+/// Descriptors kept for the listener, discovery, the log and the like.
+const RESERVED: usize = 64;
+
+fn main() -> ExitCode {
+    // The guard is leaked: guards against an exit that waits for whoever reads our log.
+    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+    let lines = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+    let lines = slog_async::Async::new(lines)
+        .chan_size(LOG_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build();
+    let level = match std::env::var("MARLGAP_LOG").as_deref() {
+        Ok("debug") => slog::Level::Debug,
+        _ => slog::Level::Info,
+    };
+    let log = Logger::root(lines.filter_level(level).fuse(), slog::o!());
+    let executor = Rc::new(LocalExecutor::new());
+    let ended = config::read()
+        .and_then(|config| async_io::block_on(executor.run(serve(config, executor.clone(), log.clone()))));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("marlgap: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Result<(), ConfigError> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(ConfigError::Signals)?;
+    let told = Rc::new(config.told.clone());
+    let descriptors = config.sockets.saturating_sub(RESERVED).max(16);
+    let nodes = Nodes::new((*told).clone(), descriptors / 2, executor.clone(), log.clone());
+    let core = Core::new(told.settings.clone(), config.seed, told.max_open, executor.clone(), nodes.clone())
+        .map_err(ConfigError::Settings)?;
+    let closing = Rc::new(Closing::default());
+
+    let discovery = Discovery {
+        address: config.discovery,
+        core: core.clone(),
+        nodes,
+        zones: told.zones.clone(),
+        log: log.clone(),
+    };
+    if let Some(known) = config.known()? {
+        discovery.apply(&known, News::Cached);
+    }
+    let listener = listen(config.listen)?;
+    let acceptor = Acceptor::new(executor.clone(), closing.clone(), descriptors / 2, log.clone());
+    let front =
+        Rc::new(Front { core: core.clone(), told: told.clone(), closing: closing.clone(), log: log.clone() });
+    info!(log, "listening"; "name" => &config.name, "address" => %config.listen, "classes" => told.class_names.len());
+    let accept = acceptor.clone().accept(listener, move |stream| front.clone().serve(stream));
+    let accepted = executor.spawn(accept);
+    executor.spawn(core.clone().run()).detach();
+    executor.spawn(discovery.watch(config.seq)).detach();
+    executor.spawn(count(core.clone(), log.clone())).detach();
+
+    let signal = signals.next().await;
+    let told_at = Instant::now();
+    closing.begun.set(true);
+    info!(log, "stopping"; "signal" => ?signal.and_then(Result::ok), "open" => core.open(), "connections" => acceptor.held());
+    Timer::at(told_at + STILL_COMING).await;
+    closing.idle.set(true);
+    closing.wake.notify(usize::MAX);
+    accepted.await;
+    while acceptor.held() > 0 {
+        let freed = acceptor.freed.listen();
+        if acceptor.held() > 0 {
+            freed.await;
+        }
+    }
+    info!(log, "stopped"; "counts" => ?core.counts());
+    // The log's last lines leave by a thread of their own; nobody waits for it longer than this.
+    Timer::at(Instant::now() + Duration::from_millis(20)).await;
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<Async<TcpListener>, ConfigError> {
+    Async::<TcpListener>::bind(address).map_err(|e| ConfigError::Listen(address, e))
+}
+
+async fn count(core: Rc<Core<Nodes>>, log: Logger) {
+    loop {
+        Timer::at(Instant::now() + COUNTS_EVERY).await;
+        info!(log, "counts"; "so far" => ?core.counts(), "open" => core.open());
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,171 @@
+//! The list of data nodes, as discovery tells it: the whole list, then a watch on changes.
+use std::borrow::Cow;
+use std::fmt;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use serde::Deserialize;
+use slog::{info, warn, Logger};
+
+use super::buffer::Buffer;
+use super::by;
+use super::http::{self, HttpError, Kind};
+use super::nodes::{Entry, Nodes};
+use crate::core::{Clock, Core};
+use crate::interface::*;
+
+/// How long discovery may hold a call. A change counts as told two seconds after that, come what may, and so
+/// long we wait for the answer before we ask anew.
+const HOLD: Duration = Duration::from_secs(8);
+const GRACE: Duration = Duration::from_secs(2);
+const CONNECT: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Deserialize)]
+pub struct List<'a> {
+    pub seq: u64,
+    #[serde(default)]
+    pub whole: bool,
+    #[serde(borrow, default)]
+    pub hosts: Vec<Host<'a>>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Host<'a> {
+    #[serde(borrow)]
+    host: Cow<'a, str>,
+    #[serde(borrow)]
+    dial: Cow<'a, str>,
+    #[serde(borrow, default)]
+    site: Cow<'a, str>,
+    #[serde(default)]
+    block: u16,
+    #[serde(borrow)]
+    health: Cow<'a, str>,
+    #[serde(default = "one")]
+    share: f64,
+    #[serde(default)]
+    born_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Debug)]
+pub enum DiscoveryError {
+    Http(HttpError),
+    Status(u16),
+    List(serde_json::Error),
+    Silent,
+}
+
+impl fmt::Display for DiscoveryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DiscoveryError::Http(e) => write!(f, "{e}"),
+            DiscoveryError::Status(s) => write!(f, "status {s}"),
+            DiscoveryError::List(e) => write!(f, "unusable list: {e}"),
+            DiscoveryError::Silent => f.write_str("no answer in time"),
+        }
+    }
+}
+
+impl std::error::Error for DiscoveryError {}
+
+impl<E: Into<HttpError>> From<E> for DiscoveryError {
+    fn from(e: E) -> Self {
+        DiscoveryError::Http(e.into())
+    }
+}
+
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub core: Rc<Core<Nodes>>,
+    pub nodes: Rc<Nodes>,
+    pub zones: Vec<String>,
+    pub log: Logger,
+}
+
+impl Discovery {
+    /// Hand a list on: to the connections first, whose writes it may stop, then to the module.
+    pub fn apply(&self, list: &List, news: News) {
+        let clock = self.core.clock();
+        let entries: Vec<Listed> = list.hosts.iter().filter_map(|h| self.entry(h, &clock)).collect();
+        if news != News::Delta {
+            self.nodes.keep_only(&entries.iter().map(|e| e.replica).collect::<Vec<_>>());
+        }
+        info!(self.log, "list of data nodes"; "seq" => list.seq, "whole" => news != News::Delta,
+            "entries" => entries.len());
+        self.core.members(news, entries);
+    }
+
+    fn entry(&self, host: &Host, clock: &Clock) -> Option<Listed> {
+        let phase = match &*host.health {
+            "up" => Phase::Ready,
+            "draining" => Phase::Draining,
+            _ => Phase::Gone,
+        };
+        let Ok(address) = host.dial.parse() else {
+            warn!(self.log, "unusable address of a data node"; "host" => &*host.host, "dial" => &*host.dial);
+            return None;
+        };
+        let replica =
+            self.nodes.list(&Entry { name: host.host.to_string(), address, phase, born: host.born_ms });
+        let zone = self.zones.iter().position(|z| *z == host.site).map_or(u8::MAX, |n| n as u8);
+        let (cell, weight, started) = (CellId(host.block), host.share, clock.born(host.born_ms));
+        Some(Listed { replica, zone: ZoneId(zone), cell, phase, weight, started })
+    }
+
+    /// Follow the list for as long as the program runs. The module says when to begin (anew).
+    pub async fn watch(self, mut seq: u64) {
+        let subscriptions = self.core.subscriptions();
+        while subscriptions.recv().await.is_ok() {
+            let Err(e) = self.follow(&mut seq).await;
+            warn!(self.log, "watch on discovery ended"; "error" => %e, "seq" => seq);
+            self.core.members(News::Failed, Vec::new());
+        }
+    }
+
+    /// One watch: each call follows the last answer at once. Ends when a call fails.
+    async fn follow(&self, seq: &mut u64) -> Result<std::convert::Infallible, DiscoveryError> {
+        let mut buffer = Buffer::default();
+        let mut stream = self.connect().await?;
+        loop {
+            let latest = Instant::now() + HOLD + GRACE;
+            let call = format!(
+                "GET /catalog/members?index={seq}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                HOLD.as_millis(),
+                self.address
+            );
+            let answer = async {
+                stream.write_all(call.as_bytes()).await?;
+                http::read(&mut stream, &mut buffer, Kind::Answer).await
+            };
+            let answer = by(latest, answer).await.ok_or(DiscoveryError::Silent)??;
+            if answer.status != 200 {
+                return Err(DiscoveryError::Status(answer.status));
+            }
+            let body = answer.body(&buffer);
+            let list: List = serde_json::from_slice(&body).map_err(DiscoveryError::List)?;
+            if list.whole || !list.hosts.is_empty() {
+                self.apply(&list, if list.whole { News::Full } else { News::Delta });
+            }
+            *seq = list.seq;
+            drop(body);
+            buffer.consume(answer.length);
+            if !answer.keep_alive {
+                buffer = Buffer::default();
+                stream = self.connect().await?;
+            }
+        }
+    }
+
+    async fn connect(&self) -> Result<Async<TcpStream>, DiscoveryError> {
+        let latest = Instant::now() + CONNECT;
+        let stream = by(latest, Async::<TcpStream>::connect(self.address)).await;
+        Ok(stream.ok_or(DiscoveryError::Silent)??)
+    }
+}
--- /dev/null
+++ b/src/net/frames.rs
@@ -0,0 +1,111 @@
+//! The frames that data nodes speak: a four-byte length, a letter and the rest.
+use std::fmt;
+
+/// The largest frame that a data node may send: a body's limit and room for its line.
+const MOST: usize = 128 * 1024;
+
+#[derive(Debug, PartialEq)]
+pub enum FrameError {
+    Length(usize),
+    Letter(u8),
+    Line,
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::Length(n) => write!(f, "a frame of {n} bytes"),
+            FrameError::Letter(l) => write!(f, "a frame of the unknown letter {l}"),
+            FrameError::Line => f.write_str("a frame whose line cannot be read"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum End {
+    Served,
+    Broke,
+    Skipped,
+}
+
+/// What a data node sends.
+#[derive(Debug, PartialEq)]
+pub enum Frame<'a> {
+    Answer { id: &'a str, end: End, score: f64, report: &'a str, value: &'a [u8] },
+    Probe { served: bool },
+    Load { report: Option<&'a str> },
+    Error { words: &'a str },
+}
+
+/// The frame at the front of `bytes` and its length, if it is whole.
+pub fn parse(bytes: &[u8]) -> Result<Option<(Frame<'_>, usize)>, FrameError> {
+    let Some((head, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if length == 0 || length > MOST {
+        return Err(FrameError::Length(length));
+    }
+    let Some(frame) = rest.get(..length) else { return Ok(None) };
+    let (letter, rest) = (frame[0], &frame[1..]);
+    let text = |b| std::str::from_utf8(b).map_err(|_| FrameError::Line);
+    let frame = match letter {
+        b'a' => answer(rest)?,
+        b'p' => Frame::Probe { served: rest == b"served" },
+        b'l' => Frame::Load { report: Some(text(rest)?).filter(|r| *r != "broke") },
+        b'e' => Frame::Error { words: text(rest)? },
+        other => return Err(FrameError::Letter(other)),
+    };
+    Ok(Some((frame, 4 + length)))
+}
+
+fn answer(rest: &[u8]) -> Result<Frame<'_>, FrameError> {
+    let line = rest.iter().position(|b| *b == b'\n').ok_or(FrameError::Line)?;
+    let words = std::str::from_utf8(&rest[..line]).map_err(|_| FrameError::Line)?;
+    let mut words = words.split(' ');
+    let (Some(id), Some(end), Some(score)) = (words.next(), words.next(), words.next()) else {
+        return Err(FrameError::Line);
+    };
+    let end = match end {
+        "served" => End::Served,
+        "broke" => End::Broke,
+        "skipped" => End::Skipped,
+        _ => return Err(FrameError::Line),
+    };
+    // Only served parts are ranked: what else ends a part may leave its score blank.
+    let score = match (score.parse::<f64>(), end) {
+        (Ok(score), _) if score.is_finite() => score,
+        (_, End::Served) => return Err(FrameError::Line),
+        _ => 0.0,
+    };
+    Ok(Frame::Answer { id, end, score, report: words.next().unwrap_or("-"), value: &rest[line + 1..] })
+}
+
+/// Begin a frame at the end of `out`; [`seal`] ends it.
+pub fn open(out: &mut Vec<u8>, letter: u8) -> usize {
+    let at = out.len();
+    out.extend([0, 0, 0, 0, letter]);
+    at
+}
+
+pub fn seal(out: &mut [u8], at: usize) {
+    let length = (out.len() - at - 4) as u32;
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+/// What data nodes call the values that the settings name.
+const NAMES: [(&str, &str); 6] = [
+    ("concurrent", "inflight"),
+    ("depth", "queue"),
+    ("load_share", "util"),
+    ("mean_ms", "latency_ms"),
+    ("tps", "qps"),
+    ("err_ps", "eps"),
+];
+
+/// The value of a load report under a name of the settings, as in `inflight=7,util=0.61`.
+pub fn reported(report: &str, name: &str) -> f64 {
+    let other = NAMES.iter().find(|(told, _)| *told == name).map_or(name, |(_, sent)| sent);
+    let mut pairs = report.split(',').filter_map(|p| p.split_once('='));
+    pairs.find(|(n, _)| *n == name || *n == other).and_then(|(_, v)| v.parse().ok()).unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/src/net/front.rs
@@ -0,0 +1,314 @@
+//! The platform's thin front: clients' queries over HTTP/1.1.
+use std::borrow::Cow;
+use std::cell::Cell;
+use std::fmt;
+use std::future::Future;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use event_listener::Event as Wake;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use serde::Deserialize;
+use slog::{debug, warn, Logger};
+
+use super::buffer::Buffer;
+use super::by;
+use super::http::{self, Answer, HttpError, Kind, Message};
+use super::nodes::{Carried, Nodes};
+use crate::core::{Core, Final, Query};
+use crate::interface::*;
+use crate::settings::Deployment;
+
+/// How long a connection may stay without a request, a request may take to come in, and an answer to leave.
+const IDLE: Duration = Duration::from_secs(60);
+const ARRIVE: Duration = Duration::from_secs(10);
+const LEAVE: Duration = Duration::from_secs(5);
+/// The longest wait that a client may ask for; longer ones are cut to it.
+const LONGEST: Duration = Duration::from_secs(3600);
+
+/// The end of service: told once, and seen by every connection.
+#[derive(Default)]
+pub struct Closing {
+    /// No new work is wanted: answers say that the connection closes.
+    pub begun: Cell<bool>,
+    /// Connections between requests are closed.
+    pub idle: Cell<bool>,
+    pub wake: Wake,
+}
+
+impl Closing {
+    async fn idle(&self) {
+        while !self.idle.get() {
+            let listener = self.wake.listen();
+            if !self.idle.get() {
+                listener.await;
+            }
+        }
+    }
+}
+
+/// Accept connections up to a number, each served by a task of its own.
+pub struct Acceptor {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub closing: Rc<Closing>,
+    pub room: Cell<usize>,
+    pub freed: Wake,
+    pub most: usize,
+    pub log: Logger,
+}
+
+impl Acceptor {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        closing: Rc<Closing>,
+        most: usize,
+        log: Logger,
+    ) -> Rc<Self> {
+        Rc::new(Acceptor { executor, closing, room: Cell::new(most), freed: Wake::new(), most, log })
+    }
+
+    /// Connections that are being served.
+    pub fn held(&self) -> usize {
+        self.most - self.room.get()
+    }
+
+    /// Accept until idle connections are closed; what the machine took for us by then is served too.
+    pub async fn accept<F>(
+        self: Rc<Self>,
+        listener: Async<TcpListener>,
+        serve: impl Fn(Async<TcpStream>) -> F,
+    ) where
+        F: Future<Output = ()> + 'static,
+    {
+        loop {
+            while self.room.get() == 0 && !self.closing.idle.get() {
+                let freed = self.freed.listen();
+                if self.room.get() == 0 {
+                    freed.or(async { self.closing.idle().await }).await;
+                }
+            }
+            let next = async { Some(listener.accept().await) };
+            let closed = async {
+                self.closing.idle().await;
+                None
+            };
+            match next.or(closed).await {
+                Some(Ok((stream, _))) => {
+                    drop(stream.get_ref().set_nodelay(true));
+                    self.room.set(self.room.get().saturating_sub(1));
+                    let (served, acceptor) = (serve(stream), self.clone());
+                    let life = async move {
+                        served.await;
+                        acceptor.room.set(acceptor.room.get() + 1);
+                        acceptor.freed.notify(1);
+                    };
+                    self.executor.spawn(life).detach();
+                }
+                // Out of descriptors, or the peer was gone already: the next one may do better.
+                Some(Err(e)) => {
+                    warn!(self.log, "could not accept a connection"; "error" => %e);
+                    async_io::Timer::at(Instant::now() + Duration::from_millis(20)).await;
+                }
+                None => return,
+            }
+        }
+    }
+}
+
+/// Read the next request, unless the connection ends, says nothing for long, or is closed between requests.
+pub async fn next(
+    stream: &mut &Async<TcpStream>,
+    buffer: &mut Buffer,
+    closing: &Closing,
+) -> Result<Message, HttpError> {
+    if buffer.unread().is_empty() {
+        let first = async { Some(buffer.fill(stream).await) };
+        let closed = async {
+            closing.idle().await;
+            None
+        };
+        match by(Instant::now() + IDLE, first.or(closed)).await {
+            Some(Some(Ok(n))) if n > 0 => {}
+            _ => return Err(HttpError::Ended),
+        }
+    }
+    let whole = http::read(stream, buffer, Kind::Request);
+    by(Instant::now() + ARRIVE, whole).await.unwrap_or(Err(HttpError::Ended))
+}
+
+/// Resolves when the client goes away. What it sends meanwhile stays in the buffer, up to a message's worth.
+pub async fn gone(stream: &mut &Async<TcpStream>, buffer: &mut Buffer, length: usize) {
+    loop {
+        if buffer.unread().len() > length + http::MOST_BODY {
+            std::future::pending::<()>().await;
+        }
+        match buffer.fill(stream).await {
+            Ok(n) if n > 0 => {}
+            _ => return,
+        }
+    }
+}
+
+/// Write an answer; whether the connection can go on.
+pub async fn write(stream: &mut &Async<TcpStream>, answer: &Answer, keep_alive: bool) -> bool {
+    let bytes = answer.bytes(keep_alive);
+    let written = by(Instant::now() + LEAVE, stream.write_all(&bytes)).await;
+    matches!(written, Some(Ok(()))) && keep_alive
+}
+
+#[derive(Deserialize)]
+struct Body<'a> {
+    tablets: Vec<Tablet>,
+    #[serde(borrow)]
+    statement: Cow<'a, str>,
+}
+
+#[derive(Deserialize)]
+struct Tablet {
+    tablet: u32,
+    fraction: f64,
+}
+
+/// What is wrong with a request.
+#[derive(Debug)]
+enum Bad {
+    Missing(&'static str),
+    Header(&'static str),
+    Class,
+    Body(serde_json::Error),
+    Parts(&'static str),
+}
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Bad::Missing(name) => write!(f, "{name} is missing"),
+            Bad::Header(name) => write!(f, "{name} cannot be used"),
+            Bad::Class => f.write_str("Req-Kind names no class"),
+            Bad::Body(e) => write!(f, "body: {e}"),
+            Bad::Parts(what) => write!(f, "tablets: {what}"),
+        }
+    }
+}
+
+pub struct Front {
+    pub core: Rc<Core<Nodes>>,
+    pub told: Rc<Deployment>,
+    pub closing: Rc<Closing>,
+    pub log: Logger,
+}
+
+impl Front {
+    /// The life of a client's connection and of each request on it, from its bytes to its one answer.
+    pub async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+        let (mut buffer, mut stream) = (Buffer::default(), &stream);
+        loop {
+            let message = match next(&mut stream, &mut buffer, &self.closing).await {
+                Ok(message) => message,
+                Err(e) => {
+                    let status = match e {
+                        HttpError::Malformed(_) => 400,
+                        HttpError::TooLarge => 413,
+                        HttpError::Ended | HttpError::Io(_) => return,
+                    };
+                    debug!(self.log, "unusable request"; "error" => %e);
+                    write(&mut stream, &Answer::new(status, fault(&e)), false).await;
+                    return;
+                }
+            };
+            let answer = match (message.text(&buffer, &message.method), message.text(&buffer, &message.path))
+            {
+                ("GET", "/_health") => self.health(),
+                ("POST", "/api") => match self.query(&message, &buffer, Instant::now()) {
+                    Err(bad) => {
+                        debug!(self.log, "unusable query"; "error" => %bad);
+                        Answer::new(400, fault(&bad))
+                    }
+                    Ok(query) => match self.core.take(query) {
+                        None => self.refused(429, self.told.settings.retry_after),
+                        Some(taken) => {
+                            let ended = async { Some(taken.outcome().await) };
+                            let left = async {
+                                gone(&mut stream, &mut buffer, message.length).await;
+                                None
+                            };
+                            match ended.or(left).await {
+                                Some(outcome) => self.answer(&outcome),
+                                // Dropping what was taken withdraws it.
+                                None => return,
+                            }
+                        }
+                    },
+                },
+                (_, "/_health" | "/api") => Answer::new(405, fault(&"method not allowed")),
+                _ => Answer::new(404, fault(&"no such path")),
+            };
+            buffer.consume(message.length);
+            let keep_alive = message.keep_alive && !self.closing.begun.get();
+            if !write(&mut stream, &answer, keep_alive).await {
+                return;
+            }
+        }
+    }
+
+    /// Ready once queries can be served.
+    fn health(&self) -> Answer {
+        let ready = self.core.ready() && !self.closing.begun.get();
+        Answer::new(
+            if ready { 200 } else { 503 },
+            if ready { "{\"ready\":true}" } else { "{\"ready\":false}" },
+        )
+    }
+
+    fn query(&self, message: &Message, buffer: &Buffer, now: Instant) -> Result<Query<Carried>, Bad> {
+        let header = |name| message.header(buffer, name).ok_or(Bad::Missing(name));
+        let id = header("Req-Id")?;
+        if id.is_empty() || id.len() > 128 || !id.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(Bad::Header("Req-Id"));
+        }
+        let kind = header("Req-Kind")?;
+        let class = self.told.class_names.iter().position(|c| c == kind).ok_or(Bad::Class)?;
+        let wait = header("Req-Deadline-Ms")?.parse().map_err(|_| Bad::Header("Req-Deadline-Ms"))?;
+        let deadline = now + Duration::from_millis(wait).min(LONGEST);
+        let repeat = message.header(buffer, "Req-Retry") == Some("1");
+        let body = message.body(buffer);
+        let body: Body = serde_json::from_slice(&body).map_err(Bad::Body)?;
+        let mut parts: Vec<(ShardId, f64)> =
+            body.tablets.iter().map(|t| (ShardId(t.tablet), t.fraction)).collect();
+        let shards = self.told.shards.unwrap_or(u32::MAX);
+        if parts.is_empty() || parts.iter().any(|(s, f)| s.0 >= shards || !(0.0..=1.0001).contains(f)) {
+            return Err(Bad::Parts("none, one that does not exist, or a fraction out of range"));
+        }
+        parts.sort_by_key(|p| p.0);
+        if parts.windows(2).any(|w| w[0].0 == w[1].0) {
+            return Err(Bad::Parts("one is named twice"));
+        }
+        // Copied: attempts are written long after the buffer has moved on.
+        let carried = Carried { id: id.to_owned(), statement: body.statement.as_bytes().to_vec() };
+        Ok(Query { class: ClassId(class as u16), deadline, repeat, parts, carried })
+    }
+
+    fn answer(&self, outcome: &Final) -> Answer {
+        match outcome {
+            Final::Answered { whole, values } => {
+                let piece = |(shard, value): &(ShardId, Rc<[u8]>)| serde_json::json!({"tablet": shard.0, "cell": String::from_utf8_lossy(value)});
+                let pieces: Vec<_> = values.iter().map(piece).collect();
+                Answer::new(200, serde_json::json!({"full": whole, "pieces": pieces}).to_string())
+            }
+            Final::Refused { retry_after } => self.refused(503, *retry_after),
+            Final::Failed => Answer::new(500, fault(&"failed")),
+            Final::Overdue => Answer::new(504, fault(&"out of time")),
+        }
+    }
+
+    fn refused(&self, status: u16, retry_after: Option<f64>) -> Answer {
+        Answer { retry_after, ..Answer::new(status, fault(&"refused")) }
+    }
+}
+
+fn fault(what: &dyn fmt::Display) -> String {
+    serde_json::json!({"error": what.to_string()}).to_string()
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,266 @@
+//! HTTP/1.1 heads and bodies, as slices of the buffer that they were read into.
+use std::fmt;
+use std::io;
+use std::ops::Range;
+
+use futures_lite::AsyncRead;
+
+use super::buffer::Buffer;
+
+pub const MOST_BODY: usize = 64 * 1024;
+const MOST_HEAD: usize = 16 * 1024;
+const MOST_HEADERS: usize = 64;
+
+#[derive(Debug)]
+pub enum HttpError {
+    /// The stream ended, or broke, before the message was whole.
+    Ended,
+    Malformed(&'static str),
+    TooLarge,
+    Io(io::Error),
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HttpError::Ended => f.write_str("the connection ended"),
+            HttpError::Malformed(what) => write!(f, "malformed message: {what}"),
+            HttpError::TooLarge => f.write_str("message too large"),
+            HttpError::Io(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+impl From<io::Error> for HttpError {
+    fn from(e: io::Error) -> Self {
+        HttpError::Io(e)
+    }
+}
+
+/// Where the pieces of one message stand in the unread part of a buffer.
+#[derive(Debug)]
+pub struct Message {
+    /// Method and path of a request; both are empty for an answer.
+    pub method: Range<usize>,
+    pub path: Range<usize>,
+    /// Status of an answer; 0 for a request.
+    pub status: u16,
+    headers: Vec<(Range<usize>, Range<usize>)>,
+    body: Vec<Range<usize>>,
+    /// Bytes of the whole message.
+    pub length: usize,
+    pub keep_alive: bool,
+}
+
+impl Message {
+    pub fn text<'a>(&self, buffer: &'a Buffer, range: &Range<usize>) -> &'a str {
+        std::str::from_utf8(&buffer.unread()[range.clone()]).unwrap_or("")
+    }
+
+    pub fn header<'a>(&self, buffer: &'a Buffer, name: &str) -> Option<&'a str> {
+        let found = self.headers.iter().find(|(n, _)| self.text(buffer, n).eq_ignore_ascii_case(name));
+        found.map(|(_, value)| self.text(buffer, value))
+    }
+
+    /// The body: a slice of the buffer, or, where it came in several chunks, those put together.
+    pub fn body<'a>(&self, buffer: &'a Buffer) -> std::borrow::Cow<'a, [u8]> {
+        let bytes = buffer.unread();
+        match &self.body[..] {
+            [] => (&[][..]).into(),
+            [one] => bytes[one.clone()].into(),
+            many => many.iter().flat_map(|r| &bytes[r.clone()]).copied().collect::<Vec<_>>().into(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Kind {
+    Request,
+    Answer,
+}
+
+/// Read one message. It stays in the buffer until its `length` is consumed.
+pub async fn read(
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut Buffer,
+    kind: Kind,
+) -> Result<Message, HttpError> {
+    loop {
+        if let Some(message) = parse(buffer.unread(), kind)? {
+            return Ok(message);
+        }
+        if buffer.fill(stream).await? == 0 {
+            return Err(HttpError::Ended);
+        }
+    }
+}
+
+/// The message at the front of `bytes`, if it is whole.
+pub fn parse(bytes: &[u8], kind: Kind) -> Result<Option<Message>, HttpError> {
+    // A client may send an empty line between requests.
+    let skipped = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+    let place = |s: &[u8]| {
+        let at = s.as_ptr() as usize - bytes.as_ptr() as usize;
+        at..at + s.len()
+    };
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let (head, method, path, status, minor, fields) = match kind {
+        Kind::Request => {
+            let mut r = httparse::Request::new(&mut headers);
+            let Some(head) = head(r.parse(&bytes[skipped..]), bytes)? else { return Ok(None) };
+            let (method, path) = (r.method.unwrap_or(""), r.path.unwrap_or(""));
+            (head, place(method.as_bytes()), place(path.as_bytes()), 0, r.version, r.headers)
+        }
+        Kind::Answer => {
+            let mut r = httparse::Response::new(&mut headers);
+            let Some(head) = head(r.parse(&bytes[skipped..]), bytes)? else { return Ok(None) };
+            (head, 0..0, 0..0, r.code.unwrap_or(0), r.version, r.headers)
+        }
+    };
+    let mut length = None;
+    let (mut chunked, mut keep_alive) = (false, minor == Some(1));
+    for h in fields.iter() {
+        let value = std::str::from_utf8(h.value).map_err(|_| HttpError::Malformed("header value"))?;
+        if h.name.eq_ignore_ascii_case("content-length") {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let n = value.parse().ok().filter(|_| digits);
+            let n: usize = n.ok_or(HttpError::Malformed("Content-Length"))?;
+            if length.is_some_and(|l| l != n) {
+                return Err(HttpError::Malformed("Content-Length twice"));
+            }
+            length = Some(n);
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.trim().eq_ignore_ascii_case("chunked") {
+                return Err(HttpError::Malformed("Transfer-Encoding"));
+            }
+            chunked = true;
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            let has = |word: &str| value.split(',').any(|v| v.trim().eq_ignore_ascii_case(word));
+            keep_alive = if has("close") { false } else { keep_alive || has("keep-alive") };
+        }
+    }
+    if chunked && length.is_some() {
+        return Err(HttpError::Malformed("both Content-Length and chunks"));
+    }
+    let start = skipped + head;
+    let (body, end) = if chunked {
+        let Some(found) = chunks(bytes, start)? else { return Ok(None) };
+        found
+    } else {
+        let n = length.unwrap_or(0);
+        if n > MOST_BODY {
+            return Err(HttpError::TooLarge);
+        }
+        if bytes.len() < start + n {
+            return Ok(None);
+        }
+        ((n > 0).then_some(start..start + n).into_iter().collect(), start + n)
+    };
+    let headers = fields.iter().map(|h| (place(h.name.as_bytes()), place(h.value))).collect();
+    Ok(Some(Message { method, path, status, headers, body, length: end, keep_alive }))
+}
+
+fn head(parsed: httparse::Result<usize>, bytes: &[u8]) -> Result<Option<usize>, HttpError> {
+    match parsed {
+        Ok(httparse::Status::Complete(n)) => Ok(Some(n)),
+        Ok(httparse::Status::Partial) if bytes.len() > MOST_HEAD => Err(HttpError::TooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HttpError::TooLarge),
+        Err(_) => Err(HttpError::Malformed("head")),
+    }
+}
+
+type Body = (Vec<Range<usize>>, usize);
+
+/// The chunks from `at` on and the place after the last one, if all are there.
+fn chunks(bytes: &[u8], mut at: usize) -> Result<Option<Body>, HttpError> {
+    let (mut body, mut total) = (Vec::new(), 0);
+    loop {
+        let rest = &bytes[at..];
+        let (skip, size) = match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) if rest.len() > 256 => {
+                return Err(HttpError::Malformed("chunk size"))
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(HttpError::Malformed("chunk size")),
+        };
+        at += skip;
+        if size == 0 {
+            return trailer(bytes, at).map(|end| end.map(|end| (body, end)));
+        }
+        total += usize::try_from(size).map_err(|_| HttpError::TooLarge)?.min(MOST_BODY + 1);
+        if total > MOST_BODY {
+            return Err(HttpError::TooLarge);
+        }
+        let end = at + size as usize;
+        match bytes.get(end..end + 2) {
+            None => return Ok(None),
+            Some(b"\r\n") => {}
+            Some(_) => return Err(HttpError::Malformed("chunk")),
+        }
+        body.push(at..end);
+        at = end + 2;
+    }
+}
+
+/// The place after the trailer that ends a chunked body.
+fn trailer(bytes: &[u8], at: usize) -> Result<Option<usize>, HttpError> {
+    let rest = &bytes[at..];
+    if rest.starts_with(b"\r\n") {
+        return Ok(Some(at + 2));
+    }
+    match rest.windows(4).position(|w| w == b"\r\n\r\n") {
+        Some(n) => Ok(Some(at + n + 4)),
+        None if rest.len() > MOST_HEAD => Err(HttpError::TooLarge),
+        None => Ok(None),
+    }
+}
+
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        500 => "Internal Server Error",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// A whole answer.
+pub struct Answer {
+    pub status: u16,
+    pub retry_after: Option<f64>,
+    pub allow: Option<&'static str>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
+        Answer { status, retry_after: None, allow: None, body: body.into() }
+    }
+
+    pub fn bytes(&self, keep_alive: bool) -> Vec<u8> {
+        let mut out = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        if let Some(seconds) = self.retry_after {
+            out += &format!("Retry-After: {seconds}\r\n");
+        }
+        if let Some(methods) = self.allow {
+            out += &format!("Allow: {methods}\r\n");
+        }
+        if !keep_alive {
+            out += "Connection: close\r\n";
+        }
+        out += &format!("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n", self.body.len());
+        let mut out = out.into_bytes();
+        out.extend_from_slice(&self.body);
+        out
+    }
+}
--- /dev/null
+++ b/src/net/nodes.rs
@@ -0,0 +1,473 @@
+//! The client side of the data nodes: connections that carry many parts at once.
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use event_listener::Event as Wake;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use slog::{debug, warn, Logger};
+
+use super::buffer::Buffer;
+use super::by;
+use super::frames::{self, Frame};
+use crate::core::{Call, Ended, Step, Stop, Transport};
+use crate::interface::*;
+use crate::settings::{self, Deployment};
+
+/// Connections to one data node at most, and how long before a data node would close an idle connection we
+/// do: a request that crosses its close would end as a reset.
+const MOST_CONNECTIONS: usize = 4;
+const IDLE_SHARE: f64 = 0.8;
+/// How long a probe may take where nothing says.
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+
+/// What a data node needs of a query.
+pub struct Carried {
+    pub id: String,
+    pub statement: Vec<u8>,
+}
+
+/// Where the answer to a probe goes: whether the data node answered, and its report.
+type Probe = Sender<(bool, Option<Report>)>;
+type Ending = (Sender<Ended>, Receiver<Ended>);
+
+/// A part on a connection.
+struct Item {
+    id: String,
+    shard: ShardId,
+    /// What its list holds beside its time.
+    extra: String,
+    carried: Rc<Carried>,
+    deadline: Instant,
+    /// Which life of the data node it was meant for.
+    life: u64,
+    end: Ending,
+}
+
+enum Out {
+    Part(Rc<Item>),
+    GiveUp(String),
+    Probe(u8, Probe),
+}
+
+struct Connection {
+    queue: RefCell<VecDeque<Out>>,
+    /// Written and not answered, oldest first.
+    waiting: RefCell<Vec<Rc<Item>>>,
+    probes: RefCell<VecDeque<Probe>>,
+    wake: Wake,
+    up: Cell<bool>,
+    closed: Cell<bool>,
+    used: Cell<Instant>,
+}
+
+impl Connection {
+    fn load(&self) -> usize {
+        let queue = self.queue.borrow();
+        queue.iter().filter(|o| matches!(o, Out::Part(_))).count() + self.waiting.borrow().len()
+    }
+
+    fn idle(&self) -> bool {
+        self.up.get() && self.queue.borrow().is_empty() && self.waiting.borrow().is_empty()
+    }
+
+    fn close(&self) {
+        self.closed.set(true);
+        self.wake.notify(usize::MAX);
+    }
+
+    fn push(&self, out: Out) {
+        self.queue.borrow_mut().push_back(out);
+        self.wake.notify(usize::MAX);
+    }
+
+    /// What was not written whole never ran; what was, may have.
+    fn end_all(&self, unwritten: &[Rc<Item>]) {
+        self.closed.set(true);
+        for item in unwritten {
+            drop(item.end.0.try_send(Outcome::NoConnection.into()));
+        }
+        for out in self.queue.borrow_mut().drain(..) {
+            if let Out::Part(item) = out {
+                drop(item.end.0.try_send(Outcome::NoConnection.into()));
+            }
+        }
+        for item in self.waiting.borrow_mut().drain(..) {
+            drop(item.end.0.try_send(Outcome::Reset.into()));
+        }
+        self.probes.borrow_mut().clear();
+    }
+}
+
+struct Node {
+    address: SocketAddr,
+    phase: Phase,
+    /// Counts its starts, as far as we were told of them.
+    life: u64,
+    born: u64,
+    connections: Vec<Rc<Connection>>,
+}
+
+/// A data node as discovery lists it, in this co-ordinator's terms.
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub phase: Phase,
+    pub born: u64,
+}
+
+pub struct Nodes {
+    nodes: RefCell<BTreeMap<ReplicaId, Node>>,
+    names: RefCell<BTreeMap<String, ReplicaId>>,
+    told: Deployment,
+    executor: Rc<LocalExecutor<'static>>,
+    log: Logger,
+    /// Descriptors that connections to data nodes may still take.
+    room: Cell<usize>,
+}
+
+impl Nodes {
+    pub fn new(told: Deployment, room: usize, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Rc<Self> {
+        let (nodes, names) = Default::default();
+        Rc::new(Nodes { nodes, names, told, executor, log, room: Cell::new(room) })
+    }
+
+    /// The number under which a data node is known to the module; the same for as long as we run.
+    pub fn id(&self, name: &str) -> ReplicaId {
+        let mut names = self.names.borrow_mut();
+        let next = ReplicaId(names.len() as u64 + 1);
+        *names.entry(name.to_owned()).or_insert(next)
+    }
+
+    /// Take over what discovery says of one data node. A drain counts from here on for whatever is queued.
+    pub fn list(&self, entry: &Entry) -> ReplicaId {
+        let id = self.id(&entry.name);
+        let mut nodes = self.nodes.borrow_mut();
+        let new =
+            || Node { address: entry.address, phase: entry.phase, life: 0, born: 0, connections: Vec::new() };
+        let node = nodes.entry(id).or_insert_with(new);
+        let restarted = entry.born > node.born && node.born + entry.born > 0;
+        // Guards against waiting on connections to a process that is no more: its machine may have
+        // vanished without a word, and they stay open and silent.
+        if (restarted || entry.address != node.address) && !node.connections.is_empty() {
+            node.connections.drain(..).for_each(|c| c.close());
+        }
+        node.life += u64::from(restarted);
+        node.born = node.born.max(entry.born);
+        (node.address, node.phase) = (entry.address, entry.phase);
+        id
+    }
+
+    /// A whole list names all there are; the others are gone.
+    pub fn keep_only(&self, listed: &[ReplicaId]) {
+        for (id, node) in self.nodes.borrow_mut().iter_mut() {
+            if !listed.contains(id) {
+                node.phase = Phase::Gone;
+            }
+        }
+    }
+
+    /// A connection with a free place, up or coming up, else a new one; where none may be opened, the one
+    /// that carries least.
+    fn connection(self: &Rc<Self>, replica: ReplicaId) -> Option<(Rc<Connection>, u64)> {
+        let mut nodes = self.nodes.borrow_mut();
+        let node = nodes.get_mut(&replica).filter(|n| n.phase == Phase::Ready)?;
+        node.connections.retain(|c| !c.closed.get());
+        let least = node.connections.iter().min_by_key(|c| (c.load(), !c.up.get())).cloned();
+        let free = least.as_ref().is_some_and(|c| c.load() < self.told.sockets.streams);
+        if free || (least.is_some() && (node.connections.len() >= MOST_CONNECTIONS || self.room.get() == 0)) {
+            return least.map(|c| (c, node.life));
+        }
+        if self.room.get() == 0 {
+            return None;
+        }
+        let connection = Rc::new(Connection {
+            queue: RefCell::default(),
+            waiting: RefCell::default(),
+            probes: RefCell::default(),
+            wake: Wake::new(),
+            up: Cell::new(false),
+            closed: Cell::new(false),
+            used: Cell::new(Instant::now()),
+        });
+        node.connections.push(connection.clone());
+        self.room.set(self.room.get() - 1);
+        let life = self.clone().serve(replica, node.address, connection.clone());
+        self.executor.spawn(life).detach();
+        Some((connection, node.life))
+    }
+
+    /// The life of one connection: come up in time, then write what is queued and read what comes back.
+    async fn serve(self: Rc<Self>, replica: ReplicaId, address: SocketAddr, connection: Rc<Connection>) {
+        let latest = Instant::now() + self.told.sockets.connect;
+        let closed = async {
+            connection.wait(|| connection.closed.get()).await;
+            None
+        };
+        match by(latest, Async::<TcpStream>::connect(address)).or(closed).await {
+            Some(Ok(stream)) => {
+                let nodelay = stream.get_ref().set_nodelay(true);
+                debug!(self.log, "connection up"; "replica" => replica.0, "nodelay" => nodelay.is_ok());
+                connection.up.set(true);
+                connection.used.set(Instant::now());
+                let (mut reader, mut writer) = (&stream, &stream);
+                let read = self.read(&connection, &mut reader);
+                let write = self.write(replica, &connection, &mut writer);
+                let closed = async {
+                    connection.wait(|| connection.closed.get()).await;
+                    Vec::new()
+                };
+                let unwritten = closed.or(write).or(read).await;
+                connection.end_all(&unwritten);
+            }
+            Some(Err(e)) => {
+                debug!(self.log, "no connection"; "replica" => replica.0, "error" => %e);
+                connection.end_all(&[]);
+            }
+            None => connection.end_all(&[]),
+        }
+        self.room.set(self.room.get() + 1);
+    }
+
+    /// Write what is queued. Ends with the parts whose frame could not be written whole.
+    async fn write(
+        &self,
+        replica: ReplicaId,
+        connection: &Connection,
+        stream: &mut &Async<TcpStream>,
+    ) -> Vec<Rc<Item>> {
+        let idle = self.told.sockets.idle.mul_f64(IDLE_SHARE);
+        let mut bytes = Vec::new();
+        loop {
+            let some =
+                by(connection.used.get() + idle, connection.wait(|| !connection.queue.borrow().is_empty()));
+            if some.await.is_none() {
+                let unused = connection.used.get() + idle <= Instant::now();
+                if unused && connection.idle() {
+                    return Vec::new();
+                }
+                // Silent, but it still carries something.
+                if unused {
+                    connection.used.set(Instant::now());
+                }
+                continue;
+            }
+            bytes.clear();
+            let (parts, probe) = self.next_frame(replica, connection, &mut bytes);
+            connection.used.set(Instant::now());
+            if let Some(probe) = probe {
+                connection.probes.borrow_mut().push_back(probe);
+            }
+            // The parts wait from their first byte on, so that none is left out of what the connection holds;
+            // until the last byte is written they have not run.
+            connection.waiting.borrow_mut().extend(parts.iter().cloned());
+            if stream.write_all(&bytes).await.is_err() {
+                let unwritten = |item: &Rc<Item>| parts.iter().any(|p| Rc::ptr_eq(p, item));
+                connection.waiting.borrow_mut().retain(|item| !unwritten(item));
+                return parts;
+            }
+        }
+    }
+
+    /// The next frame. The place of the last look at whom it goes to: guards against a send that was queued,
+    /// or waited on a connect, when its data node began to drain, went away or began a new life.
+    fn next_frame(
+        &self,
+        replica: ReplicaId,
+        connection: &Connection,
+        bytes: &mut Vec<u8>,
+    ) -> (Vec<Rc<Item>>, Option<Probe>) {
+        let nodes = self.nodes.borrow();
+        let node = nodes.get(&replica).filter(|n| n.phase == Phase::Ready);
+        let mut queue = connection.queue.borrow_mut();
+        let (mut parts, now) = (Vec::new(), Instant::now());
+        let per_call = self.told.settings.per_call.max(1) as usize;
+        let at = frames::open(bytes, b'q');
+        while let Some(out) = queue.pop_front() {
+            match out {
+                Out::Part(item) if node.is_none_or(|n| n.life != item.life) => {
+                    drop(item.end.0.try_send(Outcome::NotSent.into()));
+                }
+                Out::Part(item) => {
+                    let left = item.deadline.saturating_duration_since(now).as_millis();
+                    let Item { id, shard, extra, carried, .. } = &*item;
+                    let head = format!("{id} {} d={left}{extra} {}\n", shard.0, carried.statement.len());
+                    bytes.extend_from_slice(head.as_bytes());
+                    bytes.extend_from_slice(&item.carried.statement);
+                    parts.push(item);
+                    if parts.len() == per_call || !matches!(queue.front(), Some(Out::Part(_))) {
+                        frames::seal(bytes, at);
+                        return (parts, None);
+                    }
+                }
+                Out::GiveUp(id) => {
+                    bytes.truncate(at);
+                    let at = frames::open(bytes, b'c');
+                    bytes.extend_from_slice(id.as_bytes());
+                    frames::seal(bytes, at);
+                    return (parts, None);
+                }
+                Out::Probe(letter, done) if node.is_some() => {
+                    bytes.truncate(at);
+                    let at = frames::open(bytes, letter);
+                    frames::seal(bytes, at);
+                    return (parts, Some(done));
+                }
+                Out::Probe(..) => {}
+            }
+        }
+        bytes.clear();
+        (parts, None)
+    }
+
+    /// Read answers until the connection ends or says what we cannot use.
+    async fn read(&self, connection: &Connection, stream: &mut &Async<TcpStream>) -> Vec<Rc<Item>> {
+        let mut buffer = Buffer::default();
+        loop {
+            let used = match frames::parse(buffer.unread()) {
+                Ok(Some((frame, length))) => {
+                    if let Frame::Error { words } = frame {
+                        warn!(self.log, "data node could not use a frame"; "words" => words);
+                        return Vec::new();
+                    }
+                    self.answered(connection, frame);
+                    length
+                }
+                Ok(None) => match buffer.fill(stream).await {
+                    Ok(n) if n > 0 => continue,
+                    _ => return Vec::new(),
+                },
+                Err(e) => {
+                    warn!(self.log, "unusable frame from a data node"; "error" => %e);
+                    return Vec::new();
+                }
+            };
+            buffer.consume(used);
+        }
+    }
+
+    fn answered(&self, connection: &Connection, frame: Frame<'_>) {
+        connection.used.set(Instant::now());
+        match frame {
+            Frame::Answer { id, end, score, report, value } => {
+                let mut waiting = connection.waiting.borrow_mut();
+                // An answer to what was given up finds nobody waiting.
+                let Some(n) = waiting.iter().position(|item| item.id == id) else { return };
+                let item = waiting.remove(n);
+                let report = self.report(report);
+                let (outcome, served) = match end {
+                    // Copied: the value outlives the buffer, until its query is answered.
+                    frames::End::Served => (Outcome::Served, Some((value.into(), score))),
+                    frames::End::Broke => (Outcome::Error, None),
+                    frames::End::Skipped => (Outcome::TurnedAway, None),
+                };
+                drop(item.end.0.try_send(Ended { outcome, served, report }));
+            }
+            Frame::Probe { served } => {
+                if let Some(done) = connection.probes.borrow_mut().pop_front() {
+                    let _ = done.try_send((served, None));
+                }
+            }
+            Frame::Load { report } => {
+                if let Some(done) = connection.probes.borrow_mut().pop_front() {
+                    let _ = done.try_send((report.is_some(), report.and_then(|r| self.report(r))));
+                }
+            }
+            Frame::Error { .. } => {}
+        }
+    }
+
+    fn report(&self, report: &str) -> Option<Report> {
+        let values = self.told.report_names.iter().map(|name| frames::reported(report, name));
+        (report != "-").then(|| settings::report(&self.told.reports, values))
+    }
+}
+
+impl Connection {
+    async fn wait(&self, until: impl Fn() -> bool) {
+        while !until() {
+            let listener = self.wake.listen();
+            if !until() {
+                listener.await;
+            }
+        }
+    }
+}
+
+impl Transport for Nodes {
+    type Carried = Carried;
+
+    /// The life of one attempt: a place on a connection, the write, and the one thing that ends it.
+    async fn call(self: Rc<Self>, call: Call<Carried>, stop: Stop) -> Ended {
+        let Some((connection, life)) = self.connection(call.replica) else {
+            return Outcome::NotSent.into();
+        };
+        let second = if call.step == Step::First { "" } else { ".b" };
+        let item = Rc::new(Item {
+            id: format!("{}.{}{second}", call.carried.id, call.shard.0),
+            shard: call.shard,
+            extra: listed(&call.step),
+            carried: call.carried,
+            deadline: call.deadline,
+            life,
+            end: async_channel::bounded(1),
+        });
+        connection.push(Out::Part(item.clone()));
+        let ended = async { item.end.1.recv().await.unwrap_or(Outcome::Reset.into()) };
+        let stopped = async {
+            stop.wait().await;
+            Outcome::Cancelled.into()
+        };
+        let ended = by(call.deadline, ended.or(stopped)).await;
+        let ended = ended.unwrap_or(Outcome::TimedOut.into());
+        if matches!(ended.outcome, Outcome::Cancelled | Outcome::TimedOut) {
+            self.give_up(&connection, &item);
+        }
+        ended
+    }
+
+    async fn probe(self: Rc<Self>, replica: ReplicaId) -> (bool, Option<Report>) {
+        let latest = Instant::now() + PROBE_WAIT;
+        let Some((connection, _)) = self.connection(replica) else { return (false, None) };
+        let letter = if self.told.settings.reports == Reports::OnProbe { b'l' } else { b'p' };
+        let (send, done) = async_channel::bounded(1);
+        connection.push(Out::Probe(letter, send));
+        by(latest, done.recv()).await.and_then(Result::ok).unwrap_or((false, None))
+    }
+
+    fn close_idle(&self, replica: ReplicaId) {
+        if let Some(node) = self.nodes.borrow().get(&replica) {
+            node.connections.iter().filter(|c| c.idle()).for_each(|c| c.close());
+        }
+    }
+}
+
+impl Nodes {
+    /// Nobody waits for this attempt any more: unwritten it is not sent, else the data node is told.
+    fn give_up(&self, connection: &Connection, item: &Rc<Item>) {
+        let ours = |out: &Out| matches!(out, Out::Part(other) if Rc::ptr_eq(other, item));
+        connection.queue.borrow_mut().retain(|out| !ours(out));
+        let mut waiting = connection.waiting.borrow_mut();
+        let Some(n) = waiting.iter().position(|other| Rc::ptr_eq(other, item)) else { return };
+        waiting.remove(n);
+        if self.told.settings.cancel && !connection.closed.get() {
+            connection.push(Out::GiveUp(item.id.clone()));
+        }
+    }
+}
+
+/// What the list of a part holds beside its time.
+fn listed(step: &Step) -> String {
+    match step {
+        Step::First => String::new(),
+        Step::Second { from, whole } => {
+            let from: Vec<String> = from.iter().map(|s| s.0.to_string()).collect();
+            format!(",from={},whole={}", from.join("+"), u8::from(*whole))
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,9 +3,8 @@
 use std::fmt;
 use std::io::{Read, Write};
 
-use serde_json::Value;
-
 use crate::interface::*;
+use crate::settings::{self, Deployment, ReportValue};
 use crate::Balancer;
 
 const EVENT_BYTES: usize = 48;
@@ -69,16 +68,6 @@
     out.copy_from_slice(&replica.0.to_be_bytes()[2..8]);
 }
 
-/// What a value of a load report stands for.
-#[derive(Clone, Copy)]
-enum ReportValue {
-    Queue,
-    InFlight,
-    Busy,
-    ServiceMs,
-    Other,
-}
-
 fn report(record: &Fields, at: usize, names: &[ReportValue]) -> Result<Option<Report>, WireError> {
     let n = usize::from(record.u8(at));
     if n > 4 {
@@ -87,175 +76,8 @@
     if n == 0 {
         return Ok(None);
     }
-    let mut out = Report::default();
-    for (i, name) in names.iter().take(n).enumerate() {
-        let value = Some(record.f32(at + 1 + 4 * i)).filter(|v| v.is_finite());
-        match name {
-            ReportValue::Queue => out.queue = value,
-            ReportValue::InFlight => out.in_flight = value,
-            ReportValue::Busy => out.busy = value,
-            ReportValue::ServiceMs => out.service = value.map(|ms| ms / 1000.0),
-            ReportValue::Other => {}
-        }
-    }
-    Ok(Some(out))
-}
-
-fn get<'a>(v: &'a Value, path: &str) -> Option<&'a Value> {
-    path.split('.').try_fold(v, |v, key| v.get(key)).filter(|v| !v.is_null())
-}
-
-fn number(v: &Value, path: &str) -> Result<f64, WireError> {
-    match get(v, path).map(Value::as_f64) {
-        Some(Some(n)) => Ok(n),
-        Some(None) => bad(format!("settings: {path} is not a number")),
-        None => bad(format!("settings: {path} is missing")),
-    }
-}
-
-fn optional(v: &Value, path: &str) -> Result<Option<f64>, WireError> {
-    match get(v, path) {
-        None => Ok(None),
-        Some(_) => number(v, path).map(Some),
-    }
-}
-
-fn flag(v: &Value, path: &str) -> Result<bool, WireError> {
-    match get(v, path) {
-        None => Ok(false),
-        Some(Value::Bool(b)) => Ok(*b),
-        Some(_) => bad(format!("settings: {path} is not true or false")),
-    }
-}
-
-fn list<'a>(v: &'a Value, path: &str) -> Result<&'a [Value], WireError> {
-    match get(v, path) {
-        None => Ok(&[]),
-        Some(Value::Array(a)) => Ok(a),
-        Some(_) => bad(format!("settings: {path} is not a list")),
-    }
-}
-
-fn text<'a>(v: &'a Value, path: &str) -> Result<&'a str, WireError> {
-    match get(v, path) {
-        Some(Value::String(s)) => Ok(s),
-        Some(_) => bad(format!("settings: {path} is not a text")),
-        None => bad(format!("settings: {path} is missing")),
-    }
-}
-
-fn class(v: &Value, i: usize, c: &Value) -> Result<Class, WireError> {
-    let at = |key: &str| number(c, key).map_err(|e| WireError(format!("{e} (class {i})")));
-    let family = |key: &str, default: f64| -> Result<f64, WireError> {
-        let path = format!("FamilyInfo.{key}");
-        match list(v, &path)?.get(i) {
-            None => Ok(default),
-            Some(n) => n.as_f64().ok_or(WireError(format!("settings: {path}[{i}] is not a number"))),
-        }
-    };
-    let effect = match text(c, "Semantics")? {
-        "pure" => Effect::Safe,
-        "token" => Effect::Keyed { window: at("WindowS")? },
-        "side_effect" => Effect::Unsafe,
-        other => return bad(format!("settings: Semantics '{other}' of class {i} is unknown")),
-    };
-    let need = family("ClassNeed", 1.0)?;
-    Ok(Class {
-        aim: at("AimS")?,
-        deadline: at("DeadlineS")?,
-        worth: at("Worth")?,
-        late_worth: optional(c, "LateWorth")?.unwrap_or(0.0),
-        effect,
-        need,
-        floor: family("LeastShare", need)?,
-        partial: family("ClassPartial", 1.0)?,
-        second_step: family("FetchParts", 0.0)? as u32,
-    })
-}
-
-fn settings(bytes: &[u8]) -> Result<(Settings, Vec<ReportValue>), WireError> {
-    let v: Value =
-        serde_json::from_slice(bytes).map_err(|e| WireError(format!("settings are not valid JSON: {e}")))?;
-    let mut classes = Vec::new();
-    if get(&v, "Classes").is_none() {
-        return bad("settings: Classes is missing");
-    }
-    for (i, c) in list(&v, "Classes")?.iter().enumerate() {
-        classes.push(class(&v, i, c)?);
-    }
-    let mut tenants = Vec::new();
-    for t in list(&v, "Tenants")? {
-        tenants.push(Tenant { quota: optional(t, "QuotaPerS")?.unwrap_or(f64::MAX) });
-    }
-    let mut names = Vec::new();
-    for name in list(&v, "Reporting.Names")? {
-        names.push(match name.as_str() {
-            Some("depth") => ReportValue::Queue,
-            Some("concurrent") => ReportValue::InFlight,
-            Some("load_share") => ReportValue::Busy,
-            Some("mean_ms") => ReportValue::ServiceMs,
-            _ => ReportValue::Other,
-        });
-    }
-    let reports = match get(&v, "Reporting.How") {
-        None => Reports::Off,
-        Some(_) => match text(&v, "Reporting.How")? {
-            "inline" => Reports::Inline,
-            "on_probe" => Reports::OnProbe,
-            "off" => Reports::Off,
-            other => return bad(format!("settings: Reporting.How '{other}' is unknown")),
-        },
-    };
-    let discovery = match get(&v, "Discovery") {
-        None => Discovery::Push,
-        Some(_) => match text(&v, "Discovery")? {
-            "push" => Discovery::Push,
-            "ask" => Discovery::Ask { within: optional(&v, "Safety.AskWithinS")?.unwrap_or(f64::MAX) },
-            other => return bad(format!("settings: Discovery '{other}' is unknown")),
-        },
-    };
-    let budget = match optional(&v, "Safety.RepeatRatio")? {
-        None => None,
-        Some(share) => Some(Budget {
-            free: optional(&v, "Safety.MinExtra")?.unwrap_or(0.0),
-            share,
-            window: number(&v, "Safety.ResendSpanS")?,
-        }),
-    };
-    let cold = match optional(&v, "Safety.TipMultiple")? {
-        None => None,
-        Some(multiple) => Some(ColdRule {
-            from: number(&v, "Safety.ColdFrom")?,
-            ramp: number(&v, "Safety.RampTimeS")?,
-            multiple,
-            after: number(&v, "Safety.TipAfterS")?,
-        }),
-    };
-    let retry_after = match flag(&v, "Limits.RetryAfter")? {
-        true => Some(optional(&v, "Limits.MaxRetryAfterS")?.unwrap_or(0.0)),
-        false => None,
-    };
-    let settings = Settings {
-        classes,
-        tenants,
-        over_share_worth: optional(&v, "OverShareWorth")?.unwrap_or(1.0),
-        cells: number(&v, "FamilyInfo.Positions")? as u32,
-        reach: number(&v, "FamilyInfo.InARow")? as u32,
-        per_call: optional(&v, "FamilyInfo.PerCall")?.unwrap_or(1.0) as u32,
-        zone: ZoneId(optional(&v, "Zone")?.unwrap_or(0.0) as u8),
-        coordinators: optional(&v, "ReplicasOfMe")?.unwrap_or(1.0) as u32,
-        reports,
-        discovery,
-        cancel: flag(&v, "Limits.Cancel")?,
-        probes: flag(&v, "Limits.Probes")?,
-        second_copies: flag(&v, "Limits.SecondCopies")?,
-        retry_after,
-        most_tries: number(&v, "Limits.MostTries")? as u32,
-        round: optional(&v, "PeriodS")?.unwrap_or(0.0),
-        budget,
-        cold,
-    };
-    Ok((settings, names))
+    let values = (0..n).map(|i| record.f32(at + 1 + 4 * i));
+    Ok(Some(settings::report(names, values)))
 }
 
 struct Instance {
@@ -315,7 +137,9 @@
     }
 
     fn spawn(&mut self, number: u16, r: &Fields, tail: &[u8]) -> Result<(), WireError> {
-        let (settings, names) = settings(slice(tail, r.u32(9), r.u32(13), 1, "BootInfo")?)?;
+        let info = slice(tail, r.u32(9), r.u32(13), 1, "BootInfo")?;
+        let told = settings::parse(info).map_err(|e| WireError(e.to_string()))?;
+        let Deployment { settings, reports: names, .. } = told;
         let balancer = Balancer::new(settings, r.u64(1)).map_err(|e| WireError(e.to_string()))?;
         self.instances.insert(number, Instance { balancer, names, events: Vec::new() });
         Ok(())
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,8 +1,8 @@
 //! Scripted events: the ordinary path, and one small test for each failure found.
 use std::collections::BTreeMap;
 
-use firdrum::interface::*;
-use firdrum::Balancer;
+use marlgap::interface::*;
+use marlgap::Balancer;
 
 fn class() -> Class {
     Class {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 //! server here: outcomes, news and times are drawn without regard to sense.
 use std::collections::BTreeMap;
 
-use firdrum::interface::*;
-use firdrum::Balancer;
+use marlgap::interface::*;
+use marlgap::Balancer;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
