Add the second front: an OpenSearch-style query API over DNS-SD records

What it does: src/net/opensearch/ reads a documented subset of _search, hands it to a core of its own (same code, same module, same rules), asks the servers behind one shard at a time and merges their hits into one answer that says what it lacks. What both fronts share moved from net/front.rs to net/clients.rs.

Checked by hand: health, a search with no server up (503, both shards named), an unsupported key (400, named), DELETE (405).

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,9 +2,11 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use marlgap::interface::SettingsError;
 use marlgap::net::discovery::List;
+use marlgap::net::opensearch::{Setup, SetupError};
 use marlgap::settings::{self, Deployment, Unreadable};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -20,6 +22,8 @@
     Settings(SettingsError),
     Listen(SocketAddr, io::Error),
     Signals(io::Error),
+    OpenSearch(SetupError),
+    Argument(String),
 }
 
 impl fmt::Display for ConfigError {
@@ -34,6 +38,10 @@
             ConfigError::Settings(e) => write!(f, "{e}"),
             ConfigError::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
             ConfigError::Signals(e) => write!(f, "cannot handle signals: {e}"),
+            ConfigError::OpenSearch(e) => write!(f, "{e}"),
+            ConfigError::Argument(text) => {
+                write!(f, "'{text}' is not an option; usage: marlgap [--opensearch FILE]")
+            }
         }
     }
 }
@@ -58,18 +66,24 @@
     settings: &'a RawValue,
 }
 
+/// What this co-ordinator serves, and with what.
 pub struct Config {
+    pub platform: Option<Platform>,
+    /// The second front: off unless it is asked for.
+    pub opensearch: Option<Setup>,
+    pub seed: u64,
+    pub sockets: usize,
+}
+
+pub struct Platform {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
-    pub seed: u64,
-    pub sockets: usize,
-    pub seq: u64,
     known: Option<String>,
     pub told: Deployment,
 }
 
-impl Config {
+impl Platform {
     /// The list of data nodes as we last had it.
     pub fn known(&self) -> Result<Option<List<'_>>, ConfigError> {
         let list = self.known.as_deref().map(serde_json::from_str).transpose();
@@ -77,31 +91,41 @@
     }
 }
 
-/// Read the configuration that the environment names.
+/// Read the configuration that the environment and the arguments name.
 pub fn read() -> Result<Config, ConfigError> {
+    let mut config = Config { platform: None, opensearch: None, seed: 0, sockets: 1024 };
+    let mut arguments = std::env::args().skip(1);
+    while let Some(argument) = arguments.next() {
+        match (argument.as_str(), arguments.next()) {
+            ("--opensearch", Some(path)) => {
+                let setup = Setup::read(Path::new(&path)).map_err(ConfigError::OpenSearch)?;
+                config.opensearch = Some(setup);
+            }
+            _ => return Err(ConfigError::Argument(argument)),
+        }
+    }
     let var = |name: &'static str| std::env::var(name).ok();
-    let path = var("RELAY_CONFIG").ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Read(path, e))?;
-    let file: File = serde_json::from_str(&text).map_err(ConfigError::Json)?;
-    let told = settings::parse(file.settings.get().as_bytes()).map_err(ConfigError::Unreadable)?;
-    let listen = address("RELAY_LISTEN", var("RELAY_LISTEN").or(file.listen))?;
-    let discovery = address("RELAY_DISCOVERY", var("RELAY_DISCOVERY").or(file.discovery))?;
-    let seed = file.seed.unwrap_or_default();
-    let seed = match seed.as_str() {
-        "" => 0,
-        text => u64::from_str_radix(text, 16).map_err(|_| ConfigError::Seed(seed))?,
-    };
-    let mut config = Config {
-        name: var("RELAY_NAME").or(file.name).unwrap_or_default(),
-        listen,
-        discovery,
-        seed,
-        sockets: file.limits.and_then(|l| l.sockets).unwrap_or(1024),
-        seq: 0,
-        known: file.known.map(|k| k.get().to_owned()).filter(|k| k != "null"),
-        told,
-    };
-    config.seq = config.known()?.map_or(0, |k| k.seq);
+    match var("RELAY_CONFIG") {
+        None if config.opensearch.is_some() => return Ok(config),
+        None => return Err(ConfigError::Missing("RELAY_CONFIG")),
+        Some(path) => {
+            let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Read(path, e))?;
+            let file: File = serde_json::from_str(&text).map_err(ConfigError::Json)?;
+            let told = settings::parse(file.settings.get().as_bytes()).map_err(ConfigError::Unreadable)?;
+            let seed = file.seed.unwrap_or_default();
+            if !seed.is_empty() {
+                config.seed = u64::from_str_radix(&seed, 16).map_err(|_| ConfigError::Seed(seed))?;
+            }
+            config.sockets = file.limits.and_then(|l| l.sockets).unwrap_or(config.sockets);
+            config.platform = Some(Platform {
+                name: var("RELAY_NAME").or(file.name).unwrap_or_default(),
+                listen: address("RELAY_LISTEN", var("RELAY_LISTEN").or(file.listen))?,
+                discovery: address("RELAY_DISCOVERY", var("RELAY_DISCOVERY").or(file.discovery))?,
+                known: file.known.map(|k| k.get().to_owned()).filter(|k| k != "null"),
+                told,
+            });
+        }
+    }
     Ok(config)
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,10 +13,11 @@
 use slog::{info, Drain, Logger};
 
 use config::{Config, ConfigError};
-use marlgap::core::Core;
+use marlgap::core::{Core, Transport};
 use marlgap::interface::News;
+use marlgap::net::clients::{Acceptor, Closing};
 use marlgap::net::discovery::Discovery;
-use marlgap::net::front::{Acceptor, Closing, Front};
+use marlgap::net::front::Front;
 use marlgap::net::nodes::Nodes;
 
 /// After SIGTERM, new connections keep coming until the platform's front has noticed.
@@ -55,49 +56,70 @@
 
 async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Result<(), ConfigError> {
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(ConfigError::Signals)?;
-    let told = Rc::new(config.told.clone());
-    let descriptors = config.sockets.saturating_sub(RESERVED).max(16);
-    let nodes = Nodes::new((*told).clone(), descriptors / 2, executor.clone(), log.clone());
-    let core = Core::new(told.settings.clone(), config.seed, told.max_open, executor.clone(), nodes.clone())
-        .map_err(ConfigError::Settings)?;
     let closing = Rc::new(Closing::default());
+    let fronts = usize::from(config.platform.is_some()) + usize::from(config.opensearch.is_some());
+    // Half of them for clients, half for what is behind, of each front.
+    let descriptors = config.sockets.saturating_sub(RESERVED).max(16) / (2 * fronts.max(1));
+    let acceptor = || Acceptor::new(executor.clone(), closing.clone(), descriptors, log.clone());
+    let mut accepted = Vec::new();
 
-    let discovery = Discovery {
-        address: config.discovery,
-        core: core.clone(),
-        nodes,
-        zones: told.zones.clone(),
-        log: log.clone(),
-    };
-    if let Some(known) = config.known()? {
-        discovery.apply(&known, News::Cached);
+    if let Some(platform) = config.platform {
+        let told = Rc::new(platform.told.clone());
+        let nodes = Nodes::new((*told).clone(), descriptors, executor.clone(), log.clone());
+        let settings = told.settings.clone();
+        let core = Core::new(settings, config.seed, told.max_open, executor.clone(), nodes.clone())
+            .map_err(ConfigError::Settings)?;
+        let zones = told.zones.clone();
+        let discovery =
+            Discovery { address: platform.discovery, core: core.clone(), nodes, zones, log: log.clone() };
+        let mut seq = 0;
+        if let Some(known) = platform.known()? {
+            discovery.apply(&known, News::Cached);
+            seq = known.seq;
+        }
+        let listener = listen(platform.listen)?;
+        info!(log, "listening"; "name" => &platform.name, "address" => %platform.listen);
+        let front = Front { core: core.clone(), told, closing: closing.clone(), log: log.clone() };
+        let front = Rc::new(front);
+        let acceptor = acceptor();
+        let accept = acceptor.clone().accept(listener, move |stream| front.clone().serve(stream));
+        accepted.push((acceptor, executor.spawn(accept)));
+        executor.spawn(core.clone().run()).detach();
+        executor.spawn(discovery.watch(seq)).detach();
+        executor.spawn(count(core, "platform", log.clone())).detach();
+    }
+
+    if let Some(setup) = config.opensearch {
+        let address = setup.listen;
+        let front = setup
+            .start(config.seed, descriptors, &executor, &closing, &log)
+            .map_err(ConfigError::OpenSearch)?;
+        let listener = listen(address)?;
+        info!(log, "query API listening"; "address" => %listener.get_ref().local_addr().unwrap_or(address));
+        executor.spawn(count(front.core.clone(), "query API", log.clone())).detach();
+        let acceptor = acceptor();
+        let accept = acceptor.clone().accept(listener, move |stream| front.clone().serve(stream));
+        accepted.push((acceptor, executor.spawn(accept)));
     }
-    let listener = listen(config.listen)?;
-    let acceptor = Acceptor::new(executor.clone(), closing.clone(), descriptors / 2, log.clone());
-    let front =
-        Rc::new(Front { core: core.clone(), told: told.clone(), closing: closing.clone(), log: log.clone() });
-    info!(log, "listening"; "name" => &config.name, "address" => %config.listen, "classes" => told.class_names.len());
-    let accept = acceptor.clone().accept(listener, move |stream| front.clone().serve(stream));
-    let accepted = executor.spawn(accept);
-    executor.spawn(core.clone().run()).detach();
-    executor.spawn(discovery.watch(config.seq)).detach();
-    executor.spawn(count(core.clone(), log.clone())).detach();
 
     let signal = signals.next().await;
     let told_at = Instant::now();
     closing.begun.set(true);
-    info!(log, "stopping"; "signal" => ?signal.and_then(Result::ok), "open" => core.open(), "connections" => acceptor.held());
+    let held: usize = accepted.iter().map(|(a, _)| a.held()).sum();
+    info!(log, "stopping"; "signal" => ?signal.and_then(Result::ok), "connections" => held);
     Timer::at(told_at + STILL_COMING).await;
     closing.idle.set(true);
     closing.wake.notify(usize::MAX);
-    accepted.await;
-    while acceptor.held() > 0 {
-        let freed = acceptor.freed.listen();
-        if acceptor.held() > 0 {
-            freed.await;
+    for (acceptor, task) in accepted {
+        task.await;
+        while acceptor.held() > 0 {
+            let freed = acceptor.freed.listen();
+            if acceptor.held() > 0 {
+                freed.await;
+            }
         }
     }
-    info!(log, "stopped"; "counts" => ?core.counts());
+    info!(log, "stopped");
     // The log's last lines leave by a thread of their own; nobody waits for it longer than this.
     Timer::at(Instant::now() + Duration::from_millis(20)).await;
     Ok(())
@@ -107,9 +129,9 @@
     Async::<TcpListener>::bind(address).map_err(|e| ConfigError::Listen(address, e))
 }
 
-async fn count(core: Rc<Core<Nodes>>, log: Logger) {
+async fn count<T: Transport>(core: Rc<Core<T>>, front: &'static str, log: Logger) {
     loop {
         Timer::at(Instant::now() + COUNTS_EVERY).await;
-        info!(log, "counts"; "so far" => ?core.counts(), "open" => core.open());
+        info!(log, "counts"; "front" => front, "so far" => ?core.counts(), "open" => core.open());
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -142,7 +142,7 @@
             );
             let answer = async {
                 stream.write_all(call.as_bytes()).await?;
-                http::read(&mut stream, &mut buffer, Kind::Answer).await
+                http::read(&mut stream, &mut buffer, Kind::Answer, http::MOST_BODY).await
             };
             let answer = by(latest, answer).await.ok_or(DiscoveryError::Silent)??;
             if answer.status != 200 {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -7,6 +7,7 @@
 
 use super::buffer::Buffer;
 
+/// The largest body of the platform's messages.
 pub const MOST_BODY: usize = 64 * 1024;
 const MOST_HEAD: usize = 16 * 1024;
 const MOST_HEADERS: usize = 64;
@@ -86,9 +87,10 @@
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut Buffer,
     kind: Kind,
+    most_body: usize,
 ) -> Result<Message, HttpError> {
     loop {
-        if let Some(message) = parse(buffer.unread(), kind)? {
+        if let Some(message) = parse(buffer.unread(), kind, most_body)? {
             return Ok(message);
         }
         if buffer.fill(stream).await? == 0 {
@@ -98,7 +100,7 @@
 }
 
 /// The message at the front of `bytes`, if it is whole.
-pub fn parse(bytes: &[u8], kind: Kind) -> Result<Option<Message>, HttpError> {
+pub fn parse(bytes: &[u8], kind: Kind, most_body: usize) -> Result<Option<Message>, HttpError> {
     // A client may send an empty line between requests.
     let skipped = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
     let place = |s: &[u8]| {
@@ -146,11 +148,11 @@
     }
     let start = skipped + head;
     let (body, end) = if chunked {
-        let Some(found) = chunks(bytes, start)? else { return Ok(None) };
+        let Some(found) = chunks(bytes, start, most_body)? else { return Ok(None) };
         found
     } else {
         let n = length.unwrap_or(0);
-        if n > MOST_BODY {
+        if n > most_body {
             return Err(HttpError::TooLarge);
         }
         if bytes.len() < start + n {
@@ -175,7 +177,7 @@
 type Body = (Vec<Range<usize>>, usize);
 
 /// The chunks from `at` on and the place after the last one, if all are there.
-fn chunks(bytes: &[u8], mut at: usize) -> Result<Option<Body>, HttpError> {
+fn chunks(bytes: &[u8], mut at: usize, most_body: usize) -> Result<Option<Body>, HttpError> {
     let (mut body, mut total) = (Vec::new(), 0);
     loop {
         let rest = &bytes[at..];
@@ -191,8 +193,8 @@
         if size == 0 {
             return trailer(bytes, at).map(|end| end.map(|end| (body, end)));
         }
-        total += usize::try_from(size).map_err(|_| HttpError::TooLarge)?.min(MOST_BODY + 1);
-        if total > MOST_BODY {
+        total += usize::try_from(size).map_err(|_| HttpError::TooLarge)?.min(most_body + 1);
+        if total > most_body {
             return Err(HttpError::TooLarge);
         }
         let end = at + size as usize;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,12 @@
 //! Everything that touches a socket.
 pub mod buffer;
+pub mod clients;
 pub mod discovery;
 pub mod frames;
 pub mod front;
 pub mod http;
 pub mod nodes;
+pub mod opensearch;
 
 use std::future::Future;
 use std::time::Instant;
--- /dev/null
+++ b/src/net/opensearch/servers.rs
@@ -0,0 +1,296 @@
+//! The client side of the search servers: one request a connection at a time; a call given up closes its
+//! connection, which is how the public specification cancels a search.
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Async;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use slog::{debug, Logger};
+
+use super::merge::{self, Failure};
+use super::query::Search;
+use super::records::Server;
+use crate::core::{Call, Clock, Ended, Step, Stop, Transport};
+use crate::interface::*;
+use crate::net::buffer::Buffer;
+use crate::net::by;
+use crate::net::http::{self, HttpError, Kind, Message};
+use crate::settings::Sockets;
+
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+/// Idle connections are closed this much before a server would.
+const IDLE_SHARE: f64 = 0.8;
+/// The largest answer of one shard.
+const MOST_ANSWER: usize = 1 << 20;
+
+/// What became of a search's shards, for the answer to be honest about.
+#[derive(Default)]
+pub struct Notes {
+    pub begun: bool,
+    pub failures: BTreeMap<ShardId, Failure>,
+    /// Shards that were in when the first of two steps was answered.
+    pub first: Option<Rc<[ShardId]>>,
+}
+
+pub struct Carried {
+    pub search: Rc<Search>,
+    pub opaque: String,
+    /// Whether the class has two steps: the first only ranks.
+    pub ranked: bool,
+    pub notes: Rc<RefCell<Notes>>,
+}
+
+struct Known {
+    server: Server,
+    life: u64,
+    idle: Vec<(Async<TcpStream>, Instant)>,
+}
+
+pub struct Servers {
+    known: RefCell<BTreeMap<ReplicaId, Known>>,
+    names: RefCell<BTreeMap<String, ReplicaId>>,
+    sockets: Sockets,
+    room: Cell<usize>,
+    log: Logger,
+}
+
+impl Servers {
+    pub fn new(sockets: Sockets, room: usize, log: Logger) -> Rc<Self> {
+        let (known, names) = Default::default();
+        Rc::new(Servers { known, names, sockets, room: Cell::new(room), log })
+    }
+
+    /// Take over the whole list that the records make. One that is on it no more is gone: a drain.
+    pub fn list(&self, servers: &[Server], zones: &[String], clock: &Clock) -> Vec<Listed> {
+        let mut known = self.known.borrow_mut();
+        for old in known.values_mut() {
+            if !servers.iter().any(|s| s.name == old.server.name) {
+                old.server.phase = Phase::Gone;
+                self.close(old);
+            }
+        }
+        let mut listed = Vec::new();
+        for server in servers {
+            let mut names = self.names.borrow_mut();
+            let next = ReplicaId(names.len() as u64 + 1);
+            let replica = *names.entry(server.name.clone()).or_insert(next);
+            let new = || Known { server: server.clone(), life: 0, idle: Vec::new() };
+            let held = known.entry(replica).or_insert_with(new);
+            if held.server.born != server.born || held.server.address != server.address {
+                held.life += 1;
+                self.close(held);
+            }
+            held.server = server.clone();
+            let zone = zones.iter().position(|z| *z == server.zone).map_or(u8::MAX, |n| n as u8);
+            listed.push(Listed {
+                replica,
+                zone: ZoneId(zone),
+                cell: CellId(server.cell),
+                phase: server.phase,
+                weight: server.weight,
+                started: clock.born(server.born),
+            });
+        }
+        listed
+    }
+
+    fn close(&self, known: &mut Known) {
+        self.room.set(self.room.get() + known.idle.len());
+        known.idle.clear();
+    }
+
+    /// An idle connection that is still open, else a new one.
+    async fn connection(self: &Rc<Self>, replica: ReplicaId, address: SocketAddr) -> Option<Place> {
+        let oldest = Instant::now().checked_sub(self.sockets.idle.mul_f64(IDLE_SHARE));
+        while let Some((stream, used)) = self.take_idle(replica) {
+            self.room.set(self.room.get() + 1);
+            if oldest.is_none_or(|oldest| used > oldest) && open(&stream) {
+                return Some(Place::new(self, stream));
+            }
+        }
+        if self.room.get() == 0 {
+            return None;
+        }
+        let latest = Instant::now() + self.sockets.connect;
+        // Counted before it is up: many may be coming up at once.
+        let mut place = Place::reserve(self);
+        let stream = by(latest, Async::<TcpStream>::connect(address)).await?.ok()?;
+        drop(stream.get_ref().set_nodelay(true));
+        place.stream = Some(stream);
+        Some(place)
+    }
+
+    fn take_idle(&self, replica: ReplicaId) -> Option<(Async<TcpStream>, Instant)> {
+        self.known.borrow_mut().get_mut(&replica)?.idle.pop()
+    }
+
+    fn ready(&self, replica: ReplicaId) -> Option<(SocketAddr, u64)> {
+        let known = self.known.borrow();
+        let known = known.get(&replica).filter(|k| k.server.phase == Phase::Ready)?;
+        Some((known.server.address, known.life))
+    }
+
+    /// One request on one connection, from its place to the last byte of its answer.
+    async fn ask(self: &Rc<Self>, call: &Call<Carried>) -> Ended {
+        let Some((address, life)) = self.ready(call.replica) else { return Outcome::NotSent.into() };
+        let Some(mut place) = self.connection(call.replica, address).await else {
+            return self.failed(call, Outcome::NoConnection, (503, "connect_exception", "no connection"));
+        };
+        // The last look before the write: guards against a send that waited on a connect while the records
+        // changed.
+        if self.ready(call.replica) != Some((address, life)) {
+            return Outcome::NotSent.into();
+        }
+        let request = request(call, address);
+        let Some(stream) = place.stream.as_mut() else { return Outcome::NoConnection.into() };
+        if stream.write_all(&request).await.is_err() {
+            return self.failed(call, Outcome::NoConnection, (503, "connect_exception", "connection broke"));
+        }
+        call.carried.notes.borrow_mut().begun = true;
+        let mut buffer = Buffer::default();
+        match http::read(stream, &mut buffer, Kind::Answer, MOST_ANSWER).await {
+            Ok(message) => {
+                let ended = self.classify(call, &message, &buffer);
+                if message.keep_alive && buffer.unread().len() == message.length {
+                    self.keep(call.replica, life, place);
+                }
+                ended
+            }
+            Err(HttpError::Ended | HttpError::Io(_)) => {
+                self.failed(call, Outcome::Reset, (503, "node_disconnected_exception", "connection broke"))
+            }
+            Err(e) => self.failed(call, Outcome::Error, (500, "malformed_answer", &e.to_string())),
+        }
+    }
+
+    fn classify(&self, call: &Call<Carried>, message: &Message, buffer: &Buffer) -> Ended {
+        let body = message.body(buffer);
+        if message.status != 200 {
+            let error: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+            let text = |key: &str| error["error"][key].as_str().unwrap_or("unknown").to_owned();
+            // Turned away before it began; anything else may have run.
+            let outcome = if message.status == 429 { Outcome::TurnedAway } else { Outcome::Error };
+            return self.failed(call, outcome, (message.status, &text("type"), &text("reason")));
+        }
+        let search = &call.carried.search;
+        let ranking = call.carried.ranked && call.step == Step::First;
+        match merge::check(&body, !search.sort.is_empty() && !ranking, search.sort.len()) {
+            Ok(score) => {
+                call.carried.notes.borrow_mut().failures.remove(&call.shard);
+                // Copied: the value outlives the buffer, until its query is answered.
+                let served = Some((Rc::from(&*body), score));
+                Ended { outcome: Outcome::Served, served, report: None }
+            }
+            Err((status, kind, reason)) => self.failed(call, Outcome::Error, (status, &kind, &reason)),
+        }
+    }
+
+    fn failed(&self, call: &Call<Carried>, outcome: Outcome, why: (u16, &str, &str)) -> Ended {
+        let (status, kind, reason) = why;
+        let node = self.known.borrow().get(&call.replica).map(|k| k.server.name.clone()).unwrap_or_default();
+        debug!(self.log, "shard failed"; "shard" => call.shard.0, "server" => &node, "type" => kind, "reason" => reason);
+        let failure = Failure { node, status, kind: kind.to_owned(), reason: reason.to_owned() };
+        call.carried.notes.borrow_mut().failures.insert(call.shard, failure);
+        outcome.into()
+    }
+
+    fn keep(&self, replica: ReplicaId, life: u64, mut place: Place) {
+        if let Some(known) = self.known.borrow_mut().get_mut(&replica).filter(|k| k.life == life) {
+            if let Some(stream) = place.stream.take() {
+                // It goes on holding its room.
+                place.holds.set(false);
+                known.idle.push((stream, Instant::now()));
+            }
+        }
+    }
+}
+
+/// A connection in use, and the descriptor that it takes.
+struct Place {
+    stream: Option<Async<TcpStream>>,
+    servers: Rc<Servers>,
+    holds: Cell<bool>,
+}
+
+impl Place {
+    fn reserve(servers: &Rc<Servers>) -> Place {
+        servers.room.set(servers.room.get().saturating_sub(1));
+        Place { stream: None, servers: servers.clone(), holds: Cell::new(true) }
+    }
+
+    fn new(servers: &Rc<Servers>, stream: Async<TcpStream>) -> Place {
+        let mut place = Place::reserve(servers);
+        place.stream = Some(stream);
+        place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.holds.get() {
+            self.servers.room.set(self.servers.room.get() + 1);
+        }
+    }
+}
+
+/// Whether an idle connection is still open: nothing to read, and no end.
+fn open(stream: &Async<TcpStream>) -> bool {
+    let read = stream.get_ref().read(&mut [0]);
+    matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+fn request(call: &Call<Carried>, address: SocketAddr) -> Vec<u8> {
+    let Carried { search, opaque, ranked, .. } = &*call.carried;
+    let left = call.deadline.saturating_duration_since(Instant::now()).as_millis().max(1);
+    let body = if *ranked && call.step == Step::First { &search.ranking } else { &search.body };
+    format!(
+        "POST /{}/_search?preference=_shards%3A{}&allow_partial_search_results=false&timeout={left}ms HTTP/1.1\r\n\
+         Host: {address}\r\nX-Opaque-Id: {opaque}.{}\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        search.index,
+        call.shard.0,
+        call.shard.0,
+        body.len()
+    )
+    .into_bytes()
+}
+
+impl Transport for Servers {
+    type Carried = Carried;
+
+    async fn call(self: Rc<Self>, call: Call<Carried>, stop: Stop) -> Ended {
+        if let Step::Second { from, .. } = &call.step {
+            call.carried.notes.borrow_mut().first = Some(from.clone());
+        }
+        let stopped = async {
+            stop.wait().await;
+            Outcome::Cancelled.into()
+        };
+        let ended = by(call.deadline, self.ask(&call).or(stopped)).await;
+        ended.unwrap_or(Outcome::TimedOut.into())
+    }
+
+    async fn probe(self: Rc<Self>, replica: ReplicaId) -> (bool, Option<Report>) {
+        let latest = Instant::now() + PROBE_WAIT;
+        let probe = async {
+            let (address, _) = self.ready(replica)?;
+            let mut place = self.connection(replica, address).await?;
+            let stream = place.stream.as_mut()?;
+            let request = format!("GET / HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+            stream.write_all(request.as_bytes()).await.ok()?;
+            let answer = http::read(stream, &mut Buffer::default(), Kind::Answer, MOST_ANSWER).await;
+            answer.ok().map(|m| m.status)
+        };
+        (by(latest, probe).await.flatten() == Some(200), None)
+    }
+
+    fn close_idle(&self, replica: ReplicaId) {
+        if let Some(known) = self.known.borrow_mut().get_mut(&replica) {
+            self.close(known);
+        }
+    }
+}
