Log refusals and clients that leave; a marked first try is never one cut short

Checked: every line of the logs, now with refusals, failures, unusable requests and clients that leave in them. Ruled out: a refusal of the module, the limit in the core, a malformed request, a withdrawn one, a reset. None was logged; the tries never reached the program, which answered all it took whole.

Also: balance.rs take_query judged a short first try as the rest of a longer wait, which on the query API made a short timeout answer in part as soon as the floor was in. Where clients mark repeats, only repeats are judged so now; a test shows it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -648,14 +648,18 @@
     // Admission.
 
     fn take_query(&mut self, event: &Event) {
-        let &Event::Query { query, number, class: class_id, tenant, patience, .. } = event else { return };
+        let &Event::Query { query, number, class: class_id, tenant, patience, repeat, .. } = event else {
+            return;
+        };
         self.recent.taken.add(self.now);
         let Some(class) = self.s.classes.get(usize::from(class_id.0)).copied() else {
             self.out.push(Action::Fail { query });
             return;
         };
         self.tenants.entry(tenant).or_default().add(self.now);
-        let waited = self.waited(class_id, &class, patience);
+        // A first try, where repeats are marked, has waited for nothing: a client may simply want it soon.
+        let first_try = self.s.marks_retry && !repeat;
+        let waited = self.waited(class_id, &class, patience) * f64::from(u8::from(!first_try));
         let q = Query {
             id: query,
             in_class: class_id,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -228,6 +228,11 @@
         self.state.borrow().open.len()
     }
 
+    /// Parts of those, as they count toward `max_open`.
+    pub fn held(&self) -> usize {
+        self.state.borrow().parts.len()
+    }
+
     /// Whether some list of replicas has gone through a round: queries can be served.
     pub fn ready(&self) -> bool {
         self.listed.get()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -156,6 +156,8 @@
     /// Parts that share one call at most.
     pub per_call: u32,
     pub zone: ZoneId,
+    /// Clients mark their repeats.
+    pub marks_retry: bool,
     /// Co-ordinators in all, this one included.
     pub coordinators: u32,
     pub reports: Reports,
@@ -182,6 +184,7 @@
             reach: 1,
             per_call: 1,
             zone: ZoneId(0),
+            marks_retry: false,
             coordinators: 1,
             reports: Reports::Off,
             discovery: Discovery::Push,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -8,7 +8,7 @@
 use async_io::Async;
 use futures_lite::FutureExt;
 use serde::Deserialize;
-use slog::{warn, Logger};
+use slog::{info, warn, Logger};
 
 use super::buffer::Buffer;
 use super::clients::{gone, next, write, Closing};
@@ -82,16 +82,21 @@
                     return;
                 }
             };
+            let begun = Instant::now();
             let answer = match (message.text(&buffer, &message.method), message.text(&buffer, &message.path))
             {
                 ("GET", "/_health") => self.health(),
-                ("POST", "/api") => match self.query(&message, &buffer, Instant::now()) {
+                ("POST", "/api") => match self.query(&message, &buffer, begun) {
                     Err(bad) => {
                         warn!(self.log, "unusable query"; "error" => %bad);
                         Answer::new(400, fault(&bad))
                     }
                     Ok(query) => match self.core.take(query) {
-                        None => self.refused(429, self.told.settings.retry_after),
+                        None => {
+                            info!(self.log, "refused"; "why" => "as much is open as may be", "class" => message.header(&buffer, "Req-Kind"),
+                                "open" => self.core.open(), "held" => self.core.held());
+                            self.refused(429, self.told.settings.retry_after)
+                        }
                         Some(taken) => {
                             let ended = async { Some(taken.outcome().await) };
                             let left = async {
@@ -99,9 +104,20 @@
                                 None
                             };
                             match ended.or(left).await {
-                                Some(outcome) => self.answer(&outcome),
+                                Some(outcome) => {
+                                    if !matches!(outcome, Final::Answered { .. }) {
+                                        info!(self.log, "not answered"; "outcome" => ?outcome,
+                                            "class" => message.header(&buffer, "Req-Kind"),
+                                            "after_ms" => begun.elapsed().as_millis() as u64);
+                                    }
+                                    self.answer(&outcome)
+                                }
                                 // Dropping what was taken withdraws it.
-                                None => return,
+                                None => {
+                                    info!(self.log, "client gone"; "class" => message.header(&buffer, "Req-Kind"),
+                                        "after_ms" => begun.elapsed().as_millis() as u64);
+                                    return;
+                                }
                             }
                         }
                     },
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,6 +227,7 @@
         reach: number(&v, "FamilyInfo.InARow")? as u32,
         per_call: optional(&v, "FamilyInfo.PerCall")?.unwrap_or(1.0) as u32,
         zone: ZoneId(optional(&v, "Zone")?.unwrap_or(0.0) as u8),
+        marks_retry: flag(&v, "Clients.MarksRetry")?,
         coordinators: optional(&v, "ReplicasOfMe")?.unwrap_or(1.0) as u32,
         reports,
         discovery,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -397,6 +397,30 @@
     }
 }
 
+/// Guards a short time-out of a first try against being taken for what is left of a longer wait: its aim
+/// would lie in the past, and the answer would go out in part as soon as its floor is in.
+#[test]
+fn a_short_first_try_is_not_a_try_cut_short_where_repeats_are_marked() {
+    let class = Class { floor: 0.5, ..class() };
+    let mut rig = Rig::new(Settings { classes: vec![class], marks_retry: true, ..settings() }, 2);
+    for (n, (patience, repeat)) in [(4.0, false), (1.0, false), (1.0, true)].into_iter().enumerate() {
+        let id = 100 * (n as u32 + 1);
+        let (query, number, class, tenant) = (QueryId(id), QueryNumber(id), ClassId(0), TenantId(0));
+        let mut events = vec![Event::Query { query, number, class, tenant, patience, parts: 2, repeat }];
+        for part in 1..=2 {
+            let (part, shard) = (PartId(id + part), ShardId(0));
+            events.push(Event::Part { part, number, shard, weight: 0.5 });
+        }
+        rig.tell(&events);
+        let early = answers(&rig.end(0, Outcome::Served, Some(1.0)));
+        assert_eq!(early, usize::from(repeat), "half is in: try {n}");
+        rig.wait(0.02);
+        while !rig.out.is_empty() {
+            rig.end(0, Outcome::Served, Some(1.0));
+        }
+    }
+}
+
 #[test]
 fn odd_events_do_no_harm() {
     let mut rig = Rig::new(settings(), 0);
