--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -95,6 +95,7 @@
         reach: 1 + rng.below(u64::from(cells.min(3))) as u32,
         per_call: 1 + rng.below(4) as u32,
         zone: ZoneId(0),
+        marks_retry: false,
         coordinators: 1 + rng.below(3) as u32,
         reports: [Reports::Inline, Reports::OnProbe, Reports::Off][rng.below(3) as usize],
         discovery: if rng.chance(50) { Discovery::Push } else { Discovery::Ask { within: 4.0 } },
