Refuse at the limit on open queries and parts, not just below it

Checked: WIRE says queries are rejected at that count; the core (Core::take) added the new query first and so refused one that would merely reach past it. Ruled out: parts of ended queries counted twice; they leave the table with their query.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -247,8 +247,9 @@
     pub fn take(self: &Rc<Self>, query: Query<T::Carried>) -> Option<Taken<T>> {
         let state = &mut *self.state.borrow_mut();
         self.count(|c| c.taken += 1);
-        // Parts of ended queries hold no room: only their attempts are still out.
-        if state.open.len() + state.parts.len() + 1 + query.parts.len() > self.max_open {
+        // Full at that count, as in the simulator. Guards against turning away a query that merely would
+        // reach it: of three long queries, the limit's least, the third. Parts of ended queries hold no room.
+        if state.open.len() + state.parts.len() >= self.max_open {
             self.count(|c| c.full += 1);
             return None;
         }
