--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -73,6 +73,12 @@
 pub struct Stop(Receiver<Infallible>);
 
 impl Stop {
+    /// A stop, and what to drop for it to come.
+    pub fn new() -> (Sender<Infallible>, Stop) {
+        let (send, stopped) = async_channel::bounded(1);
+        (send, Stop(stopped))
+    }
+
     pub async fn wait(&self) {
         while self.0.recv().await.is_ok() {}
     }
@@ -396,11 +402,11 @@
         let deadline = timeout.map_or(open.deadline, |t| after(now, t).min(open.deadline));
         let (carried, step) = (open.carried.clone(), held.step.clone());
         let call = Call { replica, carried, shard: held.shard, step, deadline };
-        let (stop, stopped) = async_channel::bounded(1);
+        let (stop, stopped) = Stop::new();
         state.stops.insert((part, attempt), stop);
         let core = self.clone();
         let life = async move {
-            let ended = core.transport.clone().call(call, Stop(stopped)).await;
+            let ended = core.transport.clone().call(call, stopped).await;
             core.ended(part, attempt, replica, now, ended);
         };
         self.executor.spawn(life).detach();
--- a/src/net/opensearch/mod.rs
+++ b/src/net/opensearch/mod.rs
@@ -100,6 +100,9 @@
         let shards = told.shards.filter(|n| *n > 0).ok_or(SetupError::Shards)?;
         let records = path.parent().unwrap_or(Path::new("")).join(file.records);
         let (listen, service) = (file.listen, file.service);
+        // Bad records at the start end it there; later on they only change nothing.
+        let text = std::fs::read(&records).map_err(|e| SetupError::Read(records.clone(), e))?;
+        records::parse(&text, &service).map_err(SetupError::Records)?;
         Ok(Setup { listen, records, service, indices, shards, told: Rc::new(told) })
     }
 
