--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -239,6 +239,11 @@
         self.state.borrow().parts.len()
     }
 
+    /// Whether the next query would be refused for want of room.
+    pub fn full(&self) -> bool {
+        self.state.borrow().full(self.max_open)
+    }
+
     /// Whether some list of replicas has gone through a round: queries can be served.
     pub fn ready(&self) -> bool {
         self.listed.get()
@@ -255,7 +260,7 @@
         self.count(|c| c.taken += 1);
         // Full at that count, as in the simulator. Guards against turning away a query that merely would
         // reach it: of three long queries, the limit's least, the third. Parts of ended queries hold no room.
-        if state.open.len() + state.parts.len() >= self.max_open {
+        if state.full(self.max_open) {
             self.count(|c| c.full += 1);
             return None;
         }
@@ -467,6 +472,10 @@
 }
 
 impl<C> State<C> {
+    fn full(&self, max_open: usize) -> bool {
+        self.open.len() + self.parts.len() >= max_open
+    }
+
     fn id(&mut self) -> u32 {
         self.next = self.next.wrapping_add(1);
         self.next
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -98,6 +98,10 @@
                             self.refused(429, self.told.settings.retry_after)
                         }
                         Some(taken) => {
+                            if self.core.full() {
+                                info!(self.log, "no room for another query"; "open" => self.core.open(),
+                                    "held" => self.core.held());
+                            }
                             let ended = async { Some(taken.outcome().await) };
                             let left = async {
                                 gone(&mut stream, &mut buffer, message.length).await;
