Tell clients that hold their body back to go on

Seen: old clients may send 'Expect: 100-continue' and wait about a second for it, out of their query's time; next() in clients.rs read on and said nothing. An exchange plays it on the platform's front.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -125,8 +125,24 @@
             _ => return Err(HttpError::Ended),
         }
     }
+    let latest = Instant::now() + ARRIVE;
+    if http::parse(buffer.unread(), Kind::Request, http::MOST_BODY)?.is_none() && waits(buffer.unread()) {
+        by(latest, stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")).await.ok_or(HttpError::Ended)??;
+    }
     let whole = http::read(stream, buffer, Kind::Request, http::MOST_BODY);
-    by(Instant::now() + ARRIVE, whole).await.unwrap_or(Err(HttpError::Ended))
+    by(latest, whole).await.unwrap_or(Err(HttpError::Ended))
+}
+
+/// Whether a client holds its body back until it is told to go on. Guards old clients against the second or
+/// so that they would wait for that in vain, out of their query's time.
+fn waits(head: &[u8]) -> bool {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut request = httparse::Request::new(&mut headers);
+    let whole = request.parse(head).is_ok_and(|s| s.is_complete());
+    let expects = |h: &httparse::Header| {
+        h.name.eq_ignore_ascii_case("expect") && h.value.eq_ignore_ascii_case(b"100-continue")
+    };
+    whole && request.headers.iter().any(expects)
 }
 
 /// Resolves when the client goes away. What it sends meanwhile stays in the buffer, up to a message's worth.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -124,6 +124,6 @@
 }
 
 exchanges! {
-    served two_steps partial broken_connection gone_client bad_input drain silent_node stopping full
+    served told_to_go_on two_steps partial broken_connection gone_client bad_input drain silent_node stopping full
     search_merged search_unusable search_out_of_time search_left search_refused search_faulted search_two_steps search_stopping records_change search_cut
 }
