Move the watch on discovery when SIGHUP brings a new configuration

Checked: 129 is 128 + SIGHUP, so the signal's default ended the program; `Signals::new` in main.rs named SIGTERM and SIGINT alone. Ruled out: a fault in the watch itself, since the old discovery's close only comes 1.5 s after the signal. Now SIGHUP rereads RELAY_CONFIG and moves the watch at once; the new place's list is asked for whole, as its versions may start anew; a broken file is logged and the old place kept.

--- a/src/config.rs
+++ b/src/config.rs
@@ -129,6 +129,14 @@
     Ok(config)
 }
 
+/// Where discovery is by the file as it is now. What the environment said held for the start alone.
+pub fn discovery() -> Result<SocketAddr, ConfigError> {
+    let path = std::env::var("RELAY_CONFIG").map_err(|_| ConfigError::Missing("RELAY_CONFIG"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Read(path, e))?;
+    let file: File = serde_json::from_str(&text).map_err(ConfigError::Json)?;
+    address("discovery", file.discovery)
+}
+
 fn address(name: &'static str, text: Option<String>) -> Result<SocketAddr, ConfigError> {
     let text = text.ok_or(ConfigError::Missing(name))?;
     text.parse().map_err(|_| ConfigError::Address(name, text))
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use slog::{info, Drain, Logger};
+use slog::{info, warn, Drain, Logger};
 
 use config::{Config, ConfigError};
 use marlgap::core::{Core, Transport};
@@ -55,13 +55,14 @@
 }
 
 async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Result<(), ConfigError> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(ConfigError::Signals)?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(ConfigError::Signals)?;
     let closing = Rc::new(Closing::default());
     let fronts = usize::from(config.platform.is_some()) + usize::from(config.opensearch.is_some());
     // Half of them for clients, half for what is behind, of each front.
     let descriptors = config.sockets.saturating_sub(RESERVED).max(16) / (2 * fronts.max(1));
     let acceptor = || Acceptor::new(executor.clone(), closing.clone(), descriptors, log.clone());
     let mut accepted = Vec::new();
+    let (moved, moves) = async_channel::unbounded();
 
     if let Some(platform) = config.platform {
         let told = Rc::new(platform.told.clone());
@@ -70,8 +71,8 @@
         let core = Core::new(settings, config.seed, told.max_open, executor.clone(), nodes.clone())
             .map_err(ConfigError::Settings)?;
         let zones = told.zones.clone();
-        let discovery =
-            Discovery { address: platform.discovery, core: core.clone(), nodes, zones, log: log.clone() };
+        let (address, core_of) = (platform.discovery, core.clone());
+        let discovery = Discovery { address, moves, core: core_of, nodes, zones, log: log.clone() };
         let mut seq = 0;
         if let Some(known) = platform.known()? {
             discovery.apply(&known, News::Cached);
@@ -103,7 +104,19 @@
         accepted.push((acceptor, executor.spawn(accept)));
     }
 
-    let signal = signals.next().await;
+    let mut signal = signals.next().await;
+    // Guards against the signal's default, which ends the program: a new configuration moves the watch on
+    // discovery and nothing else; one that cannot be used moves nothing.
+    while let Some(Ok(Signal::Hup)) = signal {
+        match config::discovery() {
+            Ok(address) => {
+                info!(log, "configuration reread"; "discovery" => %address);
+                let _ = moved.try_send(address);
+            }
+            Err(e) => warn!(log, "configuration not reread"; "error" => %e),
+        }
+        signal = signals.next().await;
+    }
     let told_at = Instant::now();
     closing.begun.set(true);
     let held: usize = accepted.iter().map(|(a, _)| a.held()).sum();
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_channel::Receiver;
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncWriteExt, FutureExt};
 use serde::Deserialize;
 use slog::{info, warn, Logger};
 
@@ -83,6 +84,8 @@
 
 pub struct Discovery {
     pub address: SocketAddr,
+    /// Where it is from now on, each time a new configuration says so.
+    pub moves: Receiver<SocketAddr>,
     pub core: Rc<Core<Nodes>>,
     pub nodes: Rc<Nodes>,
     pub zones: Vec<String>,
@@ -119,27 +122,57 @@
         Some(Listed { replica, zone: ZoneId(zone), cell, phase, weight, started })
     }
 
-    /// Follow the list for as long as the program runs. The module says when to begin (anew).
-    pub async fn watch(self, mut seq: u64) {
+    /// Follow the list for as long as the program runs. The module says when to begin (anew); a move acts at
+    /// once, whether a watch runs, has failed or was never begun. Guards against a drain that only the new
+    /// place tells, while we wait for the old one to close.
+    pub async fn watch(mut self, seq: u64) {
         let subscriptions = self.core.subscriptions();
-        while subscriptions.recv().await.is_ok() {
-            let Err(e) = self.follow(&mut seq).await;
-            warn!(self.log, "watch on discovery ended"; "error" => %e, "seq" => seq);
-            self.core.members(News::Failed, Vec::new());
+        let moves = self.moves.clone();
+        let moved = || async {
+            match moves.recv().await {
+                Ok(address) => Some(address),
+                Err(_) => std::future::pending().await,
+            }
+        };
+        let (mut seq, mut to) = (Some(seq), None);
+        loop {
+            if to.is_none() {
+                let asked = async {
+                    match subscriptions.recv().await {
+                        Ok(()) => None,
+                        Err(_) => std::future::pending().await,
+                    }
+                };
+                to = moved().or(asked).await;
+            }
+            if let Some(address) = to.take() {
+                // Versions of another place say nothing about ours: its list is asked for whole.
+                (self.address, seq) = (address, None);
+            }
+            let failed = async {
+                let Err(e) = self.follow(&mut seq).await;
+                Err(e)
+            };
+            match async { Ok(moved().await) }.or(failed).await {
+                Ok(address) => to = address,
+                Err(e) => {
+                    warn!(self.log, "watch on discovery ended"; "error" => %e, "address" => %self.address,
+                        "seq" => seq);
+                    self.core.members(News::Failed, Vec::new());
+                }
+            }
         }
     }
 
     /// One watch: each call follows the last answer at once. Ends when a call fails.
-    async fn follow(&self, seq: &mut u64) -> Result<std::convert::Infallible, DiscoveryError> {
+    async fn follow(&self, seq: &mut Option<u64>) -> Result<std::convert::Infallible, DiscoveryError> {
         let mut buffer = Buffer::default();
         let mut stream = self.connect().await?;
         loop {
             let latest = Instant::now() + HOLD + GRACE;
-            let call = format!(
-                "GET /catalog/members?index={seq}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-                HOLD.as_millis(),
-                self.address
-            );
+            let changes =
+                seq.map(|seq| format!("?index={seq}&wait={}", HOLD.as_millis())).unwrap_or_default();
+            let call = format!("GET /catalog/members{changes} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
             let answer = async {
                 stream.write_all(call.as_bytes()).await?;
                 http::read(&mut stream, &mut buffer, Kind::Answer, http::MOST_BODY).await
@@ -153,7 +186,7 @@
             if list.whole || !list.hosts.is_empty() {
                 self.apply(&list, if list.whole { News::Full } else { News::Delta });
             }
-            *seq = list.seq;
+            *seq = Some(list.seq);
             drop(body);
             buffer.consume(answer.length);
             if !answer.keep_alive {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -48,8 +48,8 @@
         }
     }
 
-    pub fn terminate(&self) {
-        let kill = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(kill.expect("kill runs").success());
     }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -14,6 +14,8 @@
     search: bool,
     nodes: Vec<TcpListener>,
     discovery: TcpListener,
+    /// Another discovery, which a new configuration may name.
+    moved: TcpListener,
     streams: BTreeMap<String, TcpStream>,
 }
 
@@ -26,6 +28,7 @@
             } else {
                 let listener = match who.strip_prefix("node") {
                     Some(n) => &self.nodes[n[..1].parse::<usize>().expect("a number") - 1],
+                    None if who.starts_with("moved") => &self.moved,
                     None => &self.discovery,
                 };
                 listener.accept().expect("accepted").0
@@ -41,7 +44,16 @@
         let (does, rest) = does.split_once(' ').unwrap_or((does, ""));
         match (who, does) {
             ("program", "logs") => drop(self.program.log(rest)),
-            ("program", "terminates") => self.program.terminate(),
+            ("program", "terminates") => self.program.signal("-TERM"),
+            ("program", "rereads") => self.program.signal("-HUP"),
+            ("configuration", "says") => {
+                let path = self.folder.join("config.json");
+                let [old, new] =
+                    [&self.discovery, &self.moved].map(|l| l.local_addr().expect("bound").to_string());
+                let config = std::fs::read_to_string(&path).expect("read");
+                let config = if rest == "moved" { config.replace(&old, &new) } else { rest.to_owned() };
+                std::fs::write(path, config).expect("written");
+            }
             ("program", "exits") => assert!(self.program.child.wait().expect("ended").success()),
             ("records", "say") => {
                 let states = rest.split(' ').zip(&self.nodes);
@@ -107,11 +119,11 @@
     let bind = || TcpListener::bind("127.0.0.1:0").expect("bound");
     let nodes: Vec<_> = (0..count("nodes", 1)).map(|_| bind()).collect();
     let at: Vec<_> = nodes.iter().map(|l| l.local_addr().expect("bound")).collect();
-    let (discovery, search) = (bind(), word("front") == Some("opensearch"));
+    let (discovery, moved, search) = (bind(), bind(), word("front") == Some("opensearch"));
     let place = discovery.local_addr().expect("bound");
     let folder = configure(name, &at, place, nodes.len(), count("open", 75));
     let program = Program::start(&folder, search);
-    let mut play = Play { program, folder, search, nodes, discovery, streams: BTreeMap::new() };
+    let mut play = Play { program, folder, search, nodes, discovery, moved, streams: BTreeMap::new() };
     for step in steps {
         let (line, text) = step.split_once('\n').unwrap_or((step, ""));
         let (who, does) = line.split_once(' ').expect("WHO DOES");
@@ -124,6 +136,6 @@
 }
 
 exchanges! {
-    served told_to_go_on two_steps partial broken_connection gone_client bad_input drain silent_node stopping full
+    served told_to_go_on two_steps partial broken_connection gone_client bad_input drain reload silent_node stopping full
     search_merged search_unusable search_out_of_time search_left search_refused search_faulted search_two_steps search_stopping records_change search_cut
 }
