Let clients that rest or say nothing make way for new connections

Checked: our own log shows hardly a query arriving after 35 s and no refusals for load, memory is 2 MB, CPU 0.12 s in the worst second; 1,266 clients asked once and stayed. So not load, memory or CPU: the 96 places of `Acceptor` (main.rs, clients.rs) were held by clients that rest. At fault: `accept` stopped when no room was left; `next` waited 60 s for silence and 10 s for a request, a trickled one too; a refusal closed with input unread, which resets. Now the longest idle makes way (2 s without a request; 0.25 s where none ever came), a request has 2.5 s to come in (408), and a last answer is shut down, drained in bounds and closed. Both fronts share it. 64 descriptors were kept aside though about 16 are in use; now 32.

--- a/src/main.rs
+++ b/src/main.rs
@@ -26,8 +26,8 @@
 const COUNTS_EVERY: Duration = Duration::from_secs(10);
 /// Log lines that may wait for a slow reader; more are dropped and counted.
 const LOG_LINES: usize = 2048;
-/// Descriptors kept for the listener, discovery, the log and the like.
-const RESERVED: usize = 64;
+/// Descriptors kept for the listeners, discovery, the log, files and the like.
+const RESERVED: usize = 32;
 
 fn main() -> ExitCode {
     // The guard is leaked: guards against an exit that waits for whoever reads our log.
@@ -84,7 +84,7 @@
         let front = Front { core: core.clone(), told, closing: closing.clone(), log: log.clone() };
         let front = Rc::new(front);
         let acceptor = acceptor();
-        let accept = acceptor.clone().accept(listener, move |stream| front.clone().serve(stream));
+        let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
         accepted.push((acceptor, executor.spawn(accept)));
         executor.spawn(core.clone().run()).detach();
         executor.spawn(discovery.watch(seq)).detach();
@@ -100,7 +100,7 @@
         info!(log, "query API listening"; "address" => %listener.get_ref().local_addr().unwrap_or(address));
         executor.spawn(count(front.core.clone(), "query API", log.clone())).detach();
         let acceptor = acceptor();
-        let accept = acceptor.clone().accept(listener, move |stream| front.clone().serve(stream));
+        let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
         accepted.push((acceptor, executor.spawn(accept)));
     }
 
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -19,7 +19,7 @@
     }
 
     pub fn consume(&mut self, n: usize) {
-        self.start = (self.start + n).min(self.end);
+        self.start = self.start.saturating_add(n).min(self.end);
         if self.start == self.end {
             // Guards the memory limit: one large message must not keep its room for the connection's life.
             if self.bytes.len() > 4 * STEP {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,12 +1,13 @@
 //! What both fronts share: accepting clients, reading their requests and writing their answers.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use event_listener::Event as Wake;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use slog::{warn, Logger};
@@ -15,10 +16,22 @@
 use super::by;
 use super::http::{self, Answer, HttpError, Kind, Message};
 
-/// How long a connection may stay without a request, a request may take to come in, and an answer to leave.
+/// How long a connection may rest between requests, and an answer may take to leave.
 const IDLE: Duration = Duration::from_secs(60);
-const ARRIVE: Duration = Duration::from_secs(10);
 const LEAVE: Duration = Duration::from_secs(5);
+/// How long a request may take to come in: the first one from the connection's start on, a later one from its
+/// first byte. Who sends nothing or trickles is owed an error or a close within three seconds.
+const ARRIVE: Duration = Duration::from_millis(2500);
+/// How long, and for how much, the input is drained behind a last answer.
+const LINGER: Duration = Duration::from_secs(1);
+const MOST_LINGER: usize = 256 * 1024;
+/// For how long a connection is left alone though others wait for room: one that rests between requests, and
+/// one whose first request is not in. Clients that have something to ask send it at once.
+const RESTED: Duration = Duration::from_secs(2);
+const MUTE: Duration = Duration::from_millis(250);
+/// Time between looks for room where all connections are at work.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// The end of service: told once, and seen by every connection.
 #[derive(Default)]
 pub struct Closing {
@@ -40,14 +53,63 @@
     }
 }
 
+/// What a connection is doing, the first to be closed for room first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Doing {
+    /// Its last answer is written.
+    Leaving,
+    /// Its first request is not in.
+    Mute,
+    /// Between requests.
+    Resting,
+    /// A request is being served, or a later one comes in.
+    Working,
+}
+
+/// A connection in the acceptor's book.
+struct Seat {
+    doing: Cell<Doing>,
+    since: Cell<Instant>,
+    closed: Cell<bool>,
+    wake: Wake,
+}
+
+impl Seat {
+    fn set(&self, doing: Doing) {
+        self.doing.set(doing);
+        self.since.set(Instant::now());
+    }
+
+    /// From when on it may be closed for others.
+    fn spare(&self) -> Option<Instant> {
+        let since = self.since.get();
+        match self.doing.get() {
+            _ if self.closed.get() => None,
+            Doing::Leaving => Some(since),
+            Doing::Mute => Some(since + MUTE),
+            Doing::Resting => Some(since + RESTED),
+            Doing::Working => None,
+        }
+    }
+
+    async fn closed(&self) {
+        while !self.closed.get() {
+            let listener = self.wake.listen();
+            if !self.closed.get() {
+                listener.await;
+            }
+        }
+    }
+}
+
 /// Accept connections up to a number, each served by a task of its own.
 pub struct Acceptor {
-    pub executor: Rc<LocalExecutor<'static>>,
-    pub closing: Rc<Closing>,
-    pub room: Cell<usize>,
+    executor: Rc<LocalExecutor<'static>>,
+    closing: Rc<Closing>,
+    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
     pub freed: Wake,
-    pub most: usize,
-    pub log: Logger,
+    most: usize,
+    log: Logger,
 }
 
 impl Acceptor {
@@ -57,29 +119,39 @@
         most: usize,
         log: Logger,
     ) -> Rc<Self> {
-        Rc::new(Acceptor { executor, closing, room: Cell::new(most), freed: Wake::new(), most, log })
+        Rc::new(Acceptor { executor, closing, seats: RefCell::default(), freed: Wake::new(), most, log })
     }
 
     /// Connections that are being served.
     pub fn held(&self) -> usize {
-        self.most - self.room.get()
+        self.seats.borrow().len()
+    }
+
+    /// Wait for room, and make it. Guards against clients that keep their connections and ask no more, or
+    /// connect and say nothing: were they left to hold all there is, nobody else would be served.
+    async fn room(&self) {
+        while self.held() >= self.most && !self.closing.idle.get() {
+            let (freed, now) = (self.freed.listen(), Instant::now());
+            let longest = {
+                let seats = self.seats.borrow();
+                let spare = seats.values().filter(|s| s.spare().is_some_and(|at| at <= now));
+                spare.min_by_key(|s| (s.doing.get(), s.since.get())).cloned()
+            };
+            if let Some(seat) = longest {
+                seat.closed.set(true);
+                seat.wake.notify(usize::MAX);
+            }
+            by(now + LOOK, freed.or(self.closing.idle())).await;
+        }
     }
 
     /// Accept until idle connections are closed; what the machine took for us by then is served too.
-    pub async fn accept<F>(
-        self: Rc<Self>,
-        listener: Async<TcpListener>,
-        serve: impl Fn(Async<TcpStream>) -> F,
-    ) where
+    pub async fn accept<F>(self: Rc<Self>, listener: Async<TcpListener>, serve: impl Fn(Client) -> F)
+    where
         F: Future<Output = ()> + 'static,
     {
-        loop {
-            while self.room.get() == 0 && !self.closing.idle.get() {
-                let freed = self.freed.listen();
-                if self.room.get() == 0 {
-                    freed.or(async { self.closing.idle().await }).await;
-                }
-            }
+        for number in 0.. {
+            self.room().await;
             let next = async { Some(listener.accept().await) };
             let closed = async {
                 self.closing.idle().await;
@@ -88,11 +160,16 @@
             match next.or(closed).await {
                 Some(Ok((stream, _))) => {
                     drop(stream.get_ref().set_nodelay(true));
-                    self.room.set(self.room.get().saturating_sub(1));
-                    let (served, acceptor) = (serve(stream), self.clone());
+                    let now = Instant::now();
+                    let (doing, since) = (Cell::new(Doing::Mute), Cell::new(now));
+                    let seat = Rc::new(Seat { doing, since, closed: Cell::new(false), wake: Wake::new() });
+                    self.seats.borrow_mut().insert(number, seat.clone());
+                    let (closing, acceptor) = (self.closing.clone(), self.clone());
+                    let buffer = Buffer::default();
+                    let served = serve(Client { stream, buffer, seat, closing, accepted: now, asked: false });
                     let life = async move {
                         served.await;
-                        acceptor.room.set(acceptor.room.get() + 1);
+                        acceptor.seats.borrow_mut().remove(&number);
                         acceptor.freed.notify(1);
                     };
                     self.executor.spawn(life).detach();
@@ -100,7 +177,7 @@
                 // Out of descriptors, or the peer was gone already: the next one may do better.
                 Some(Err(e)) => {
                     warn!(self.log, "could not accept a connection"; "error" => %e);
-                    async_io::Timer::at(Instant::now() + Duration::from_millis(20)).await;
+                    Timer::at(Instant::now() + Duration::from_millis(20)).await;
                 }
                 None => return,
             }
@@ -108,29 +185,102 @@
     }
 }
 
-/// Read the next request, unless the connection ends, says nothing for long, or is closed between requests.
-pub async fn next(
-    stream: &mut &Async<TcpStream>,
-    buffer: &mut Buffer,
-    closing: &Closing,
-) -> Result<Message, HttpError> {
-    if buffer.unread().is_empty() {
-        let first = async { Some(buffer.fill(stream).await) };
+/// A client's connection.
+pub struct Client {
+    stream: Async<TcpStream>,
+    pub buffer: Buffer,
+    seat: Rc<Seat>,
+    closing: Rc<Closing>,
+    accepted: Instant,
+    /// Whether a request of its has come in.
+    asked: bool,
+}
+
+impl Client {
+    /// Read the next request, unless the connection ends, says nothing for long, or is closed between requests.
+    pub async fn next(&mut self) -> Result<Message, HttpError> {
+        let Client { stream, buffer, seat, closing, accepted, asked } = self;
+        let (mut stream, first) = (&*stream, !*asked);
+        if buffer.unread().is_empty() {
+            seat.set(if first { Doing::Mute } else { Doing::Resting });
+            let latest = if first { *accepted + ARRIVE } else { Instant::now() + IDLE };
+            let some = async { Some(buffer.fill(&mut stream).await) };
+            let closed = async {
+                closing.idle().or(seat.closed()).await;
+                None
+            };
+            match by(latest, some.or(closed)).await {
+                Some(Some(Ok(n))) if n > 0 => {}
+                _ => return Err(HttpError::Ended),
+            }
+        }
+        let latest = if first { *accepted } else { Instant::now() } + ARRIVE;
+        if !first {
+            seat.set(Doing::Working);
+        }
+        let whole = async {
+            let some = http::parse(buffer.unread(), Kind::Request, http::MOST_BODY)?;
+            if some.is_none() && waits(buffer.unread()) {
+                stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            }
+            http::read(&mut stream, buffer, Kind::Request, http::MOST_BODY).await
+        };
         let closed = async {
-            closing.idle().await;
-            None
+            seat.closed().await;
+            Err(HttpError::Ended)
         };
-        match by(Instant::now() + IDLE, first.or(closed)).await {
-            Some(Some(Ok(n))) if n > 0 => {}
-            _ => return Err(HttpError::Ended),
+        // The time is set by the connection's start or the first byte: guards against trickled requests.
+        let message = by(latest, whole.or(closed)).await.unwrap_or(Err(HttpError::Late));
+        if message.is_ok() {
+            *asked = true;
+            seat.set(Doing::Working);
         }
+        message
     }
-    let latest = Instant::now() + ARRIVE;
-    if http::parse(buffer.unread(), Kind::Request, http::MOST_BODY)?.is_none() && waits(buffer.unread()) {
-        by(latest, stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")).await.ok_or(HttpError::Ended)??;
+
+    /// Resolves when the client goes away. What it sends meanwhile stays in the buffer, up to a message's worth.
+    pub async fn gone(&mut self, length: usize) {
+        loop {
+            if self.buffer.unread().len() > length + http::MOST_BODY {
+                std::future::pending::<()>().await;
+            }
+            match self.buffer.fill(&mut &self.stream).await {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
+        }
+    }
+
+    /// Write an answer; whether the connection can go on. Where it cannot, the answer is its last.
+    pub async fn write(&mut self, answer: &Answer, keep_alive: bool) -> bool {
+        let keep_alive = keep_alive && !self.closing.begun.get();
+        let bytes = answer.bytes(keep_alive);
+        let written = by(Instant::now() + LEAVE, (&self.stream).write_all(&bytes)).await;
+        if matches!(written, Some(Ok(()))) && !keep_alive {
+            self.leave().await;
+        }
+        matches!(written, Some(Ok(()))) && keep_alive
+    }
+
+    /// End the connection behind its last answer. Guards that answer: a close with input unread would reset the
+    /// connection, and the client might lose what it has not read yet. What still comes is dropped, in bounds.
+    async fn leave(&mut self) {
+        let Client { stream, buffer, seat, .. } = self;
+        seat.set(Doing::Leaving);
+        drop(stream.get_ref().shutdown(Shutdown::Write));
+        let mut stream = &*stream;
+        let drained = async {
+            let mut drained = 0;
+            while drained < MOST_LINGER {
+                buffer.consume(usize::MAX);
+                match buffer.fill(&mut stream).await {
+                    Ok(n) if n > 0 => drained += n,
+                    _ => return,
+                }
+            }
+        };
+        by(Instant::now() + LINGER, drained.or(seat.closed())).await;
     }
-    let whole = http::read(stream, buffer, Kind::Request, http::MOST_BODY);
-    by(latest, whole).await.unwrap_or(Err(HttpError::Ended))
 }
 
 /// Whether a client holds its body back until it is told to go on. Guards old clients against the second or
@@ -144,23 +294,3 @@
     };
     whole && request.headers.iter().any(expects)
 }
-
-/// Resolves when the client goes away. What it sends meanwhile stays in the buffer, up to a message's worth.
-pub async fn gone(stream: &mut &Async<TcpStream>, buffer: &mut Buffer, length: usize) {
-    loop {
-        if buffer.unread().len() > length + http::MOST_BODY {
-            std::future::pending::<()>().await;
-        }
-        match buffer.fill(stream).await {
-            Ok(n) if n > 0 => {}
-            _ => return,
-        }
-    }
-}
-
-/// Write an answer; whether the connection can go on.
-pub async fn write(stream: &mut &Async<TcpStream>, answer: &Answer, keep_alive: bool) -> bool {
-    let bytes = answer.bytes(keep_alive);
-    let written = by(Instant::now() + LEAVE, stream.write_all(&bytes)).await;
-    matches!(written, Some(Ok(()))) && keep_alive
-}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,18 +1,16 @@
 //! The platform's thin front: clients' queries over HTTP/1.1.
 use std::borrow::Cow;
 use std::fmt;
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Async;
 use futures_lite::FutureExt;
 use serde::Deserialize;
 use slog::{info, warn, Logger};
 
 use super::buffer::Buffer;
-use super::clients::{gone, next, write, Closing};
-use super::http::{Answer, HttpError, Message};
+use super::clients::{Client, Closing};
+use super::http::{Answer, Message};
 use super::nodes::{Carried, Nodes};
 use crate::core::{Core, Final, Query};
 use crate::interface::*;
@@ -65,35 +63,32 @@
 
 impl Front {
     /// The life of a client's connection and of each request on it, from its bytes to its one answer.
-    pub async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
-        let (mut buffer, mut stream) = (Buffer::default(), &stream);
+    pub async fn serve(self: Rc<Self>, mut client: Client) {
         loop {
-            let message = match next(&mut stream, &mut buffer, &self.closing).await {
+            let message = match client.next().await {
                 Ok(message) => message,
                 Err(e) => {
-                    // Malformed is 400, too large 413, and an end or a break between requests nothing.
-                    let status = match e {
-                        HttpError::Malformed(_) => 400,
-                        HttpError::TooLarge => 413,
-                        HttpError::Ended | HttpError::Io(_) => return,
-                    };
-                    warn!(self.log, "unusable request"; "error" => %e);
-                    write(&mut stream, &Answer::new(status, fault(&e)), false).await;
+                    if let Some(status) = e.status() {
+                        warn!(self.log, "unusable request"; "error" => %e);
+                        client.write(&Answer::new(status, fault(&e)), false).await;
+                    }
                     return;
                 }
             };
             let begun = Instant::now();
-            let answer = match (message.text(&buffer, &message.method), message.text(&buffer, &message.path))
-            {
+            let answer = match (
+                message.text(&client.buffer, &message.method),
+                message.text(&client.buffer, &message.path),
+            ) {
                 ("GET", "/_health") => self.health(),
-                ("POST", "/api") => match self.query(&message, &buffer, begun) {
+                ("POST", "/api") => match self.query(&message, &client.buffer, begun) {
                     Err(bad) => {
                         warn!(self.log, "unusable query"; "error" => %bad);
                         Answer::new(400, fault(&bad))
                     }
                     Ok(query) => match self.core.take(query) {
                         None => {
-                            info!(self.log, "refused"; "why" => "as much is open as may be", "class" => message.header(&buffer, "Req-Kind"),
+                            info!(self.log, "refused"; "why" => "as much is open as may be", "class" => message.header(&client.buffer, "Req-Kind"),
                                 "open" => self.core.open(), "held" => self.core.held());
                             self.refused(429, self.told.settings.retry_after)
                         }
@@ -104,21 +99,21 @@
                             }
                             let ended = async { Some(taken.outcome().await) };
                             let left = async {
-                                gone(&mut stream, &mut buffer, message.length).await;
+                                client.gone(message.length).await;
                                 None
                             };
                             match ended.or(left).await {
                                 Some(outcome) => {
                                     if !matches!(outcome, Final::Answered { .. }) {
                                         info!(self.log, "not answered"; "outcome" => ?outcome,
-                                            "class" => message.header(&buffer, "Req-Kind"),
+                                            "class" => message.header(&client.buffer, "Req-Kind"),
                                             "after_ms" => begun.elapsed().as_millis() as u64);
                                     }
                                     self.answer(&outcome)
                                 }
                                 // Dropping what was taken withdraws it.
                                 None => {
-                                    info!(self.log, "client gone"; "class" => message.header(&buffer, "Req-Kind"),
+                                    info!(self.log, "client gone"; "class" => message.header(&client.buffer, "Req-Kind"),
                                         "after_ms" => begun.elapsed().as_millis() as u64);
                                     return;
                                 }
@@ -129,9 +124,8 @@
                 (_, "/_health" | "/api") => Answer::new(405, fault(&"method not allowed")),
                 _ => Answer::new(404, fault(&"no such path")),
             };
-            buffer.consume(message.length);
-            let keep_alive = message.keep_alive && !self.closing.begun.get();
-            if !write(&mut stream, &answer, keep_alive).await {
+            client.buffer.consume(message.length);
+            if !client.write(&answer, message.keep_alive).await {
                 return;
             }
         }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -18,6 +18,8 @@
     Ended,
     Malformed(&'static str),
     TooLarge,
+    /// It took longer to come in than it may.
+    Late,
     Io(io::Error),
 }
 
@@ -27,6 +29,7 @@
             HttpError::Ended => f.write_str("the connection ended"),
             HttpError::Malformed(what) => write!(f, "malformed message: {what}"),
             HttpError::TooLarge => f.write_str("message too large"),
+            HttpError::Late => f.write_str("the request did not come in in time"),
             HttpError::Io(e) => write!(f, "{e}"),
         }
     }
@@ -34,6 +37,18 @@
 
 impl std::error::Error for HttpError {}
 
+impl HttpError {
+    /// What the client is told; nothing where the connection has ended.
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            HttpError::Malformed(_) => Some(400),
+            HttpError::TooLarge => Some(413),
+            HttpError::Late => Some(408),
+            HttpError::Ended | HttpError::Io(_) => None,
+        }
+    }
+}
+
 impl From<io::Error> for HttpError {
     fn from(e: io::Error) -> Self {
         HttpError::Io(e)
@@ -227,6 +242,8 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         500 => "Internal Server Error",
--- a/src/net/opensearch/front.rs
+++ b/src/net/opensearch/front.rs
@@ -1,10 +1,8 @@
 //! The second front: clients' searches over an OpenSearch-style query API.
 use std::cell::RefCell;
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Async;
 use futures_lite::FutureExt;
 use serde_json::{json, Value};
 use slog::{warn, Logger};
@@ -15,8 +13,8 @@
 use crate::core::{Core, Final, Query};
 use crate::interface::*;
 use crate::net::buffer::Buffer;
-use crate::net::clients::{gone, next, write, Closing};
-use crate::net::http::{Answer, HttpError, Message};
+use crate::net::clients::{Client, Closing};
+use crate::net::http::{Answer, Message};
 use crate::settings::Deployment;
 
 /// An answer that comes this close before the end of its time was cut off by it.
@@ -44,29 +42,30 @@
 
 impl Front {
     /// The life of a client's connection and of each search on it, from its bytes to its one answer.
-    pub async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
-        let (mut buffer, mut stream) = (Buffer::default(), &stream);
+    pub async fn serve(self: Rc<Self>, mut client: Client) {
         loop {
-            let message = match next(&mut stream, &mut buffer, &self.closing).await {
+            let message = match client.next().await {
                 Ok(message) => message,
                 Err(e) => {
-                    let (status, kind) = match e {
-                        HttpError::Malformed(_) => (400, "parse_exception"),
-                        HttpError::TooLarge => (413, "content_too_long_exception"),
-                        HttpError::Ended | HttpError::Io(_) => return,
-                    };
-                    write(&mut stream, &error(status, kind, &e.to_string()), false).await;
+                    if let Some(status) = e.status() {
+                        let kind = match status {
+                            413 => "content_too_long_exception",
+                            408 => "timeout_exception",
+                            _ => "parse_exception",
+                        };
+                        client.write(&error(status, kind, &e.to_string()), false).await;
+                    }
                     return;
                 }
             };
-            let answer = match self.ready(&message, &buffer, Instant::now()) {
+            let answer = match self.ready(&message, &client.buffer, Instant::now()) {
                 Err(answer) => answer,
                 Ok(Ready { search, notes, parts, begun, deadline, query }) => match self.core.take(query) {
                     None => self.refused("too many searches are open"),
                     Some(taken) => {
                         let ended = async { Some(taken.outcome().await) };
                         let left = async {
-                            gone(&mut stream, &mut buffer, message.length).await;
+                            client.gone(message.length).await;
                             None
                         };
                         match ended.or(left).await {
@@ -84,9 +83,8 @@
                     }
                 },
             };
-            buffer.consume(message.length);
-            let keep_alive = message.keep_alive && !self.closing.begun.get();
-            if !write(&mut stream, &answer, keep_alive).await {
+            client.buffer.consume(message.length);
+            if !client.write(&answer, message.keep_alive).await {
                 return;
             }
         }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -64,13 +64,18 @@
             (_, "closes") => drop(self.streams.remove(who)),
             (_, "ends") => {
                 let mut left = Vec::new();
-                drop(self.stream(who).read_to_end(&mut left));
+                let end = self.stream(who).read_to_end(&mut left);
+                assert!(
+                    end.is_ok() || !who.starts_with("client"),
+                    "{who}: {end:?} instead of an orderly end"
+                );
                 assert_eq!(String::from_utf8_lossy(&left), "", "nothing more comes");
             }
             (_, "sends") => {
                 let at: Vec<SocketAddr> = self.nodes.iter().map(|l| l.local_addr().expect("bound")).collect();
-                let text = (1..=at.len())
-                    .fold(text.to_owned(), |t, n| t.replace(&format!("NODE{n}"), &at[n - 1].to_string()));
+                let text = text.replace("FILL", &"x".repeat(200_000));
+                let text =
+                    (1..=at.len()).fold(text, |t, n| t.replace(&format!("NODE{n}"), &at[n - 1].to_string()));
                 let bytes = if frames { frame(&line_ended(&text)) } else { http(&text).into_bytes() };
                 self.stream(who).write_all(&bytes).expect("written");
             }
@@ -122,6 +127,10 @@
     let (discovery, moved, search) = (bind(), bind(), word("front") == Some("opensearch"));
     let place = discovery.local_addr().expect("bound");
     let folder = configure(name, &at, place, nodes.len(), count("open", 75));
+    let path = folder.join("config.json");
+    let config = std::fs::read_to_string(&path).expect("read");
+    let sockets = format!("\"sockets\":{}", count("sockets", 1024));
+    std::fs::write(path, config.replace("\"sockets\":1024", &sockets)).expect("written");
     let program = Program::start(&folder, search);
     let mut play = Play { program, folder, search, nodes, discovery, moved, streams: BTreeMap::new() };
     for step in steps {
@@ -136,6 +145,6 @@
 }
 
 exchanges! {
-    served told_to_go_on two_steps partial broken_connection gone_client bad_input drain reload silent_node stopping full
+    served told_to_go_on two_steps partial broken_connection gone_client bad_input late crowd drain reload silent_node stopping full
     search_merged search_unusable search_out_of_time search_left search_refused search_faulted search_two_steps search_stopping records_change search_cut
 }
