Take a spoilt answer for an error of its part, not for the death of a data node

Checked with a probe that printed every odd frame: lengths of 0, 3, 0xFFFFFFFC and 3 GB, noise, letters, ends and ids that do not exist, second copies, and good values with a report of '%%%' or noise. Values are never cut. Ruled out: memory (1 MB), CPU (0.09 s in the worst second), partial frames (none seen). At fault: `read` in nodes.rs ended the connection so that every part on it counted as reset, which the module takes for a death: 20 s of probation for long queries. `answered` dropped an answer with an unknown id, and its part waited for its hedge. `answer` in frames.rs wanted UTF-8 of the report. Now the part that is named (else the oldest) ends as an error and the others as called off; an unknown id is spoilt, unless it was given up; a frame is judged by its first bytes and must end within 250 ms. Lines of this sort are rationed.

--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -3,6 +3,8 @@
 
 /// The largest frame that a data node may send: a body's limit and room for its line.
 const MOST: usize = 128 * 1024;
+/// The longest line of an answer.
+const MOST_LINE: usize = 1024;
 
 #[derive(Debug, PartialEq)]
 pub enum FrameError {
@@ -39,31 +41,36 @@
     Error { words: &'a str },
 }
 
-/// The frame at the front of `bytes` and its length, if it is whole.
+/// The frame at the front of `bytes` and its length, if it is whole. What cannot become one is told from its
+/// first bytes. Guards against waiting, and making room, for what a length promises that is noise.
 pub fn parse(bytes: &[u8]) -> Result<Option<(Frame<'_>, usize)>, FrameError> {
     let Some((head, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_be_bytes(*head) as usize;
     if length == 0 || length > MOST {
         return Err(FrameError::Length(length));
     }
-    let Some(frame) = rest.get(..length) else { return Ok(None) };
-    let (letter, rest) = (frame[0], &frame[1..]);
+    let whole = rest.len() >= length;
+    let Some((letter, rest)) = rest[..length.min(rest.len())].split_first() else { return Ok(None) };
     let text = |b| std::str::from_utf8(b).map_err(|_| FrameError::Line);
     let frame = match letter {
-        b'a' => answer(rest)?,
-        b'p' => Frame::Probe { served: rest == b"served" },
-        b'l' => Frame::Load { report: Some(text(rest)?).filter(|r| *r != "broke") },
-        b'e' => Frame::Error { words: text(rest)? },
-        other => return Err(FrameError::Letter(other)),
+        b'a' => answer(rest, whole)?,
+        b'p' | b'l' | b'e' if !whole => None,
+        b'p' => Some(Frame::Probe { served: rest == b"served" }),
+        b'l' => Some(Frame::Load { report: Some(text(rest)?).filter(|r| *r != "broke") }),
+        b'e' => Some(Frame::Error { words: text(rest)? }),
+        other => return Err(FrameError::Letter(*other)),
     };
-    Ok(Some((frame, 4 + length)))
+    Ok(frame.filter(|_| whole).map(|frame| (frame, 4 + length)))
 }
 
-fn answer(rest: &[u8]) -> Result<Frame<'_>, FrameError> {
-    let line = rest.iter().position(|b| *b == b'\n').ok_or(FrameError::Line)?;
-    let words = std::str::from_utf8(&rest[..line]).map_err(|_| FrameError::Line)?;
-    let mut words = words.split(' ');
-    let (Some(id), Some(end), Some(score)) = (words.next(), words.next(), words.next()) else {
+/// An answer, or `None` while its line is not in.
+fn answer(rest: &[u8], whole: bool) -> Result<Option<Frame<'_>>, FrameError> {
+    let Some(line) = rest.iter().take(MOST_LINE).position(|b| *b == b'\n') else {
+        return if whole || rest.len() >= MOST_LINE { Err(FrameError::Line) } else { Ok(None) };
+    };
+    let mut words = rest[..line].splitn(4, |b| *b == b' ');
+    let mut word = || words.next().and_then(|w| std::str::from_utf8(w).ok());
+    let (Some(id), Some(end), Some(score)) = (word(), word(), word()) else {
         return Err(FrameError::Line);
     };
     let end = match end {
@@ -78,7 +85,14 @@
         (_, End::Served) => return Err(FrameError::Line),
         _ => 0.0,
     };
-    Ok(Frame::Answer { id, end, score, report: words.next().unwrap_or("-"), value: &rest[line + 1..] })
+    // A report that cannot be read is none. Guards a good value against what merely comes with it.
+    Ok(Some(Frame::Answer { id, end, score, report: word().unwrap_or("-"), value: &rest[line + 1..] }))
+}
+
+/// The id that a frame names which cannot be used, if it has one where an answer's would stand.
+pub fn named(bytes: &[u8]) -> Option<&str> {
+    let id = bytes.get(5..)?.split(|b| *b == b' ').next()?;
+    std::str::from_utf8(id).ok()
 }
 
 /// Begin a frame at the end of `out`; [`seal`] ends it.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,8 +8,9 @@
 pub mod nodes;
 pub mod opensearch;
 
+use std::cell::Cell;
 use std::future::Future;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -23,3 +24,31 @@
     };
     work.or(late).await
 }
+
+/// Bounds how many log lines of one sort are written. Guards the little processor time that there is against a
+/// flood of one cause: a line for each costs more than what it tells of.
+#[derive(Default)]
+pub struct Ration {
+    second: Cell<Option<Instant>>,
+    written: Cell<u32>,
+    spared: Cell<u64>,
+}
+
+impl Ration {
+    const A_SECOND: u32 = 5;
+
+    /// Whether a line may be written now, and how many were spared since the last one.
+    pub fn line(&self) -> Option<u64> {
+        let now = Instant::now();
+        if self.second.get().is_none_or(|s| now >= s + Duration::from_secs(1)) {
+            self.second.set(Some(now));
+            self.written.set(0);
+        }
+        if self.written.get() == Self::A_SECOND {
+            self.spared.set(self.spared.get() + 1);
+            return None;
+        }
+        self.written.set(self.written.get() + 1);
+        Some(self.spared.take())
+    }
+}
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -15,6 +15,7 @@
 use super::buffer::Buffer;
 use super::by;
 use super::frames::{self, Frame};
+use super::Ration;
 use crate::core::{Call, Ended, Step, Stop, Transport};
 use crate::interface::*;
 use crate::settings::{self, Deployment};
@@ -23,6 +24,10 @@
 /// do: a request that crosses its close would end as a reset.
 const MOST_CONNECTIONS: usize = 4;
 const IDLE_SHARE: f64 = 0.8;
+/// How long a frame may take to come in from its first byte on.
+const FRAME: Duration = Duration::from_millis(250);
+/// Given up parts that are remembered for a connection, so that their answers are known when they come late.
+const MOST_GIVEN_UP: usize = 64;
 /// How long a probe may take where nothing says.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
@@ -59,6 +64,8 @@
     queue: RefCell<VecDeque<Out>>,
     /// Written and not answered, oldest first.
     waiting: RefCell<Vec<Rc<Item>>>,
+    /// Written, then given up: an answer may still come.
+    given_up: RefCell<VecDeque<Rc<Item>>>,
     probes: RefCell<VecDeque<Probe>>,
     wake: Wake,
     up: Cell<bool>,
@@ -86,6 +93,18 @@
         self.wake.notify(usize::MAX);
     }
 
+    /// An answer could not be used, of the part of that id if one could be read: an error of that part. With
+    /// it goes the connection, so that the others out on it are called off. Guards against holding a spoilt
+    /// answer, which any data node may send, for the death of its process, and against waiting for the others.
+    fn spoil(&self, id: Option<&str>) {
+        let mut waiting = self.waiting.borrow_mut();
+        let spoilt = id.and_then(|id| waiting.iter().position(|item| item.id == id)).unwrap_or(0);
+        for (n, item) in waiting.drain(..).enumerate() {
+            let outcome = if n == spoilt { Outcome::Error } else { Outcome::Cancelled };
+            drop(item.end.0.try_send(outcome.into()));
+        }
+    }
+
     /// What was not written whole never ran; what was, may have.
     fn end_all(&self, unwritten: &[Rc<Item>]) {
         self.closed.set(true);
@@ -127,6 +146,7 @@
     told: Deployment,
     executor: Rc<LocalExecutor<'static>>,
     log: Logger,
+    said: Ration,
     /// Descriptors that connections to data nodes may still take.
     room: Cell<usize>,
 }
@@ -134,7 +154,8 @@
 impl Nodes {
     pub fn new(told: Deployment, room: usize, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Rc<Self> {
         let (nodes, names) = Default::default();
-        Rc::new(Nodes { nodes, names, told, executor, log, room: Cell::new(room) })
+        let said = Ration::default();
+        Rc::new(Nodes { nodes, names, told, executor, log, said, room: Cell::new(room) })
     }
 
     /// The number under which a data node is known to the module; the same for as long as we run.
@@ -189,6 +210,7 @@
         let connection = Rc::new(Connection {
             queue: RefCell::default(),
             waiting: RefCell::default(),
+            given_up: RefCell::default(),
             probes: RefCell::default(),
             wake: Wake::new(),
             up: Cell::new(false),
@@ -328,36 +350,70 @@
     /// Read answers until the connection ends or says what we cannot use.
     async fn read(&self, connection: &Connection, stream: &mut &Async<TcpStream>) -> Vec<Rc<Item>> {
         let mut buffer = Buffer::default();
+        let mut begun = Instant::now();
         loop {
+            if buffer.unread().is_empty() {
+                match buffer.fill(stream).await {
+                    Ok(n) if n > 0 => begun = Instant::now(),
+                    _ => return Vec::new(),
+                }
+            }
             let used = match frames::parse(buffer.unread()) {
+                Ok(Some((Frame::Error { words }, _))) => {
+                    if let Some(spared) = self.said.line() {
+                        warn!(self.log, "data node could not use a frame"; "words" => words, "spared" => spared);
+                    }
+                    return Vec::new();
+                }
                 Ok(Some((frame, length))) => {
-                    if let Frame::Error { words } = frame {
-                        warn!(self.log, "data node could not use a frame"; "words" => words);
+                    if !self.answered(connection, frame) {
+                        self.unusable(connection, "an answer that nobody waits for", &[]);
                         return Vec::new();
                     }
-                    self.answered(connection, frame);
                     length
                 }
-                Ok(None) => match buffer.fill(stream).await {
-                    Ok(n) if n > 0 => continue,
-                    _ => return Vec::new(),
+                // Guards against a length that promises more than ever comes.
+                Ok(None) => match by(begun + FRAME, buffer.fill(stream)).await {
+                    Some(Ok(n)) if n > 0 => continue,
+                    Some(_) => return Vec::new(),
+                    None => {
+                        self.unusable(connection, "a frame that does not end", buffer.unread());
+                        return Vec::new();
+                    }
                 },
                 Err(e) => {
-                    warn!(self.log, "unusable frame from a data node"; "error" => %e);
+                    self.unusable(connection, e, buffer.unread());
                     return Vec::new();
                 }
             };
+            begun = Instant::now();
             buffer.consume(used);
         }
     }
 
-    fn answered(&self, connection: &Connection, frame: Frame<'_>) {
+    /// What came cannot be used, nor can the connection from here on. Behind a good answer, with nothing out,
+    /// that costs no more than the connection.
+    fn unusable(&self, connection: &Connection, error: impl std::fmt::Display, bytes: &[u8]) {
+        if let Some(spared) = self.said.line() {
+            warn!(self.log, "unusable frame from a data node"; "error" => %error, "spared" => spared,
+                "out" => connection.waiting.borrow().len());
+        }
+        connection.spoil(frames::named(bytes));
+    }
+
+    /// Hand an answer to who waits for it. An answer to what was given up finds nobody, as is usual; any other
+    /// that nobody waits for is spoilt, or one too many: `false`.
+    fn answered(&self, connection: &Connection, frame: Frame<'_>) -> bool {
         connection.used.set(Instant::now());
         match frame {
             Frame::Answer { id, end, score, report, value } => {
                 let mut waiting = connection.waiting.borrow_mut();
-                // An answer to what was given up finds nobody waiting.
-                let Some(n) = waiting.iter().position(|item| item.id == id) else { return };
+                let Some(n) = waiting.iter().position(|item| item.id == id) else {
+                    let mut given_up = connection.given_up.borrow_mut();
+                    let Some(n) = given_up.iter().position(|item| item.id == id) else { return false };
+                    given_up.remove(n);
+                    return true;
+                };
                 let item = waiting.remove(n);
                 let report = self.report(report);
                 let (outcome, served) = match end {
@@ -380,6 +436,7 @@
             }
             Frame::Error { .. } => {}
         }
+        true
     }
 
     fn report(&self, report: &str) -> Option<Report> {
@@ -454,7 +511,12 @@
         connection.queue.borrow_mut().retain(|out| !ours(out));
         let mut waiting = connection.waiting.borrow_mut();
         let Some(n) = waiting.iter().position(|other| Rc::ptr_eq(other, item)) else { return };
-        waiting.remove(n);
+        let item = waiting.remove(n);
+        let mut given_up = connection.given_up.borrow_mut();
+        if given_up.len() == MOST_GIVEN_UP {
+            given_up.pop_front();
+        }
+        given_up.push_back(item.clone());
         if self.told.settings.cancel && !connection.closed.get() {
             connection.push(Out::GiveUp(item.id.clone()));
         }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -71,6 +71,11 @@
                 );
                 assert_eq!(String::from_utf8_lossy(&left), "", "nothing more comes");
             }
+            // Bytes as they are, `%` and two hexadecimal digits for what is no text.
+            (_, "spoils") => {
+                let bytes: Vec<u8> = percent_encoding::percent_decode_str(text).collect();
+                self.stream(who).write_all(&bytes).expect("written");
+            }
             (_, "sends") => {
                 let at: Vec<SocketAddr> = self.nodes.iter().map(|l| l.local_addr().expect("bound")).collect();
                 let text = text.replace("FILL", &"x".repeat(200_000));
@@ -145,6 +150,6 @@
 }
 
 exchanges! {
-    served told_to_go_on two_steps partial broken_connection gone_client bad_input late crowd drain reload silent_node stopping full
+    served told_to_go_on two_steps partial broken_connection spoilt gone_client bad_input late crowd drain reload silent_node stopping full
     search_merged search_unusable search_out_of_time search_left search_refused search_faulted search_two_steps search_stopping records_change search_cut
 }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -1,6 +1,7 @@
 //! Pieces of the network code by themselves, and the program's start.
 mod common;
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::Command;
 use std::rc::Rc;
@@ -15,16 +16,52 @@
 use marlgap::net::nodes::{Carried, Entry, Nodes};
 use marlgap::net::opensearch::{merge, query, records};
 
+fn told(node: SocketAddr) -> marlgap::settings::Deployment {
+    let folder = configure("parts", &[node], node, 1, 75);
+    let config = std::fs::read_to_string(folder.join("config.json")).expect("read");
+    let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+    marlgap::settings::parse(config["settings"].to_string().as_bytes()).expect("settings")
+}
+
+/// Guards against holding a spoilt answer for the death of a data node: the part that it names has failed,
+/// the others that were out on its connection are called off, none counts as reset.
+#[test]
+fn a_spoilt_answer_is_an_error_of_its_own_part_alone() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let executor = Rc::new(LocalExecutor::new());
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let nodes = Nodes::new(told(address), 8, executor.clone(), log);
+    let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
+    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let deadline = Instant::now() + PATIENCE;
+    let begin = |shard| {
+        let call =
+            Call { replica, carried: carried.clone(), shard: ShardId(shard), step: Step::First, deadline };
+        let (hold, stop) = Stop::new();
+        let attempt = executor.spawn(nodes.clone().call(call, stop));
+        async move { (attempt.await.outcome, hold).0 }
+    };
+    let (first, second) = (begin(3), begin(4));
+    let node = std::thread::spawn(move || {
+        let mut stream = listener.accept().expect("accepted").0;
+        let asked = [read_frame(&mut stream), read_frame(&mut stream)];
+        stream.write_all(&frame("a a1.4 nonsense 1 -\nV")).expect("written");
+        assert_eq!(read_frame(&mut stream), None, "the connection is given up");
+        asked
+    });
+    let outcomes = async_io::block_on(executor.run(futures_lite::future::zip(first, second)));
+    assert_eq!(outcomes, (Outcome::Cancelled, Outcome::Error));
+    assert!(node.join().expect("ran").iter().all(Option::is_some));
+}
+
 /// Guards the rule on drains: a send that was decided on while its node was up, and then waited for a
 /// connection, is not written once the node drains, is gone, or begins a new life.
 #[test]
 fn a_send_that_waits_on_a_connect_is_stopped_by_a_drain_or_a_new_life() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
-    let folder = configure("parts", &[address], address, 1, 75);
-    let config = std::fs::read_to_string(folder.join("config.json")).expect("read");
-    let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
-    let told = marlgap::settings::parse(config["settings"].to_string().as_bytes()).expect("settings");
+    let told = told(address);
     for (phase, born) in [(Phase::Draining, 0), (Phase::Gone, 0), (Phase::Ready, 7)] {
         let executor = Rc::new(LocalExecutor::new());
         let log = slog::Logger::root(slog::Discard, slog::o!());
