Refuse bad queries before they reach the module, and forget data nodes long gone

Read off the source: `Recent.sends` is added to with each part (1,400 a second) but trimmed only while a replica is cold or blamed; `Nodes.nodes`, `names` and the module's replicas kept every id. Ruled out: descriptors (flat at 136), clients' buffers (connections flat). Read off front.rs: fractions that do not add up were scaled to 1, an id could hold a dot or a slash and is written into frames' lines, an id of an open query and doubled headers were taken. Now these get 400 or 409 from the front; rounding is allowed for (5e-4 a part). Replicas gone for 30 s are forgotten by module and connections (their numbers are never given again), connections to data nodes that drain or are gone close when idle, tallies are trimmed each round. Lines that a flood repeats are rationed; `counts` tells how many replicas are known.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -74,6 +74,8 @@
 /// Weight of the newest response time of a replica in its usual one, and seconds in which that half fades.
 const TOOK_GAIN: f64 = 0.3;
 const TOOK_HALF: f64 = 2.0;
+/// Seconds after which a replica that is gone is forgotten: longer than any attempt is out.
+const FORGET: f64 = 30.0;
 /// Seconds that a full replica is left alone.
 const FULL_REST: f64 = 0.2;
 /// Probes stay under this share of recent parts; seconds between probes of one replica at least.
@@ -156,6 +158,9 @@
         for event in events {
             self.event(event);
         }
+        // Guards against growth: these are added to with each part, but looked at on some days only.
+        let window = self.s.budget.unwrap_or(OWN_BUDGET).window.max(RECENT) + 2.0 * self.s.round;
+        self.recent.trim(self.now - window);
         let known: Vec<f64> = self.replicas.values().filter_map(|r| self.reported(r)).collect();
         self.average = known.iter().sum::<f64>() / known.len().max(1) as f64;
         self.subscribe();
@@ -198,7 +203,7 @@
             News::Full | News::Cached => {
                 let missing = |id: &ReplicaId| !entries.iter().any(|e| e.replica == *id);
                 let gone = self.replicas.iter_mut().filter(|(id, _)| missing(id));
-                gone.for_each(|(_, r)| r.listed.phase = Phase::Gone);
+                gone.for_each(|(_, r)| r.leave(Phase::Gone, self.now));
             }
             News::Delta => {}
         }
@@ -206,10 +211,32 @@
         entries.iter().for_each(|entry| self.list(entry));
         let ready = self.replicas.values().filter(|r| r.listed.phase == Phase::Ready);
         self.ready = ready.count().max(1) as f64;
+        self.forget();
+    }
+
+    /// Guards a long run, in which replicas are replaced for good, against growing.
+    fn forget(&mut self) {
+        let now = self.now;
+        let (replicas, cells) = (&mut self.replicas, &mut self.cells);
+        replicas.retain(|id, r| {
+            let kept = r.listed.phase != Phase::Gone || now - r.gone < FORGET || !r.out.is_empty();
+            if !kept {
+                cells.entry(u32::from(r.listed.cell.0)).or_default().remove(id);
+            }
+            kept
+        });
+    }
+
+    /// Replicas that are remembered.
+    pub fn known(&self) -> usize {
+        self.replicas.len()
     }
 
     /// A replica with a new start is a new process: what was held against the old one is dropped.
     fn list(&mut self, entry: &Listed) {
+        if entry.phase == Phase::Gone && !self.replicas.contains_key(&entry.replica) {
+            return;
+        }
         let replica = self.replicas.entry(entry.replica).or_default();
         if entry.started > replica.listed.started {
             let (out, sent) = (std::mem::take(&mut replica.out), std::mem::take(&mut replica.sent));
@@ -217,6 +244,7 @@
             replica.phase = (self.rng.next_u32() as f64) / f64::from(u32::MAX);
         }
         let (old, new) = (u32::from(replica.listed.cell.0), u32::from(entry.cell.0));
+        replica.leave(entry.phase, self.now);
         replica.listed = *entry;
         self.cells.entry(old).or_default().remove(&entry.replica);
         self.cells.entry(new).or_default().insert(entry.replica);
@@ -917,6 +945,13 @@
 }
 
 impl Replica {
+    fn leave(&mut self, phase: Phase, now: f64) {
+        if self.listed.phase != Phase::Gone {
+            self.gone = now;
+        }
+        self.listed.phase = phase;
+    }
+
     fn usable(&self, class: ClassId, now: f64) -> bool {
         let tried = self.whole.trials > 0 || self.classes.get(&class).is_some_and(|b| b.trials > 0);
         self.until(class) <= now && (!tried || self.out.is_empty())
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -229,6 +229,11 @@
         self.counts.get()
     }
 
+    /// Replicas that the module remembers.
+    pub fn known(&self) -> usize {
+        self.state.borrow().balancer.known()
+    }
+
     /// Queries that have no final outcome yet.
     pub fn open(&self) -> usize {
         self.state.borrow().open.len()
--- a/src/main.rs
+++ b/src/main.rs
@@ -81,8 +81,9 @@
         let listener = listen(platform.listen)?;
         let address = listener.get_ref().local_addr().unwrap_or(platform.listen);
         info!(log, "listening"; "name" => &platform.name, "address" => %address);
-        let front = Front { core: core.clone(), told, closing: closing.clone(), log: log.clone() };
-        let front = Rc::new(front);
+        let (open, said) = Default::default();
+        let (core_of, closing_of) = (core.clone(), closing.clone());
+        let front = Rc::new(Front { core: core_of, told, closing: closing_of, open, log: log.clone(), said });
         let acceptor = acceptor();
         let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
         accepted.push((acceptor, executor.spawn(accept)));
@@ -146,6 +147,6 @@
 async fn count<T: Transport>(core: Rc<Core<T>>, front: &'static str, log: Logger) {
     loop {
         Timer::at(Instant::now() + COUNTS_EVERY).await;
-        info!(log, "counts"; "front" => front, "so far" => ?core.counts(), "open" => core.open());
+        info!(log, "counts"; "front" => front, "so far" => ?core.counts(), "open" => core.open(), "replicas" => core.known());
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -102,6 +102,7 @@
         }
         info!(self.log, "list of data nodes"; "seq" => list.seq, "whole" => news != News::Delta,
             "entries" => entries.len());
+        self.nodes.forget(Instant::now());
         self.core.members(news, entries);
     }
 
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,5 +1,7 @@
 //! The platform's thin front: clients' queries over HTTP/1.1.
 use std::borrow::Cow;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,12 +14,16 @@
 use super::clients::{Client, Closing};
 use super::http::{Answer, Message};
 use super::nodes::{Carried, Nodes};
+use super::Ration;
 use crate::core::{Core, Final, Query};
 use crate::interface::*;
 use crate::settings::Deployment;
 
 /// The longest wait that a client may ask for; longer ones are cut to it.
 const LONGEST: Duration = Duration::from_secs(3600);
+const MOST_ID: usize = 64;
+/// What the fraction of one part may be off by, as it was rounded on its way.
+const ROUNDING: f64 = 5e-4;
 
 #[derive(Deserialize)]
 struct Body<'a> {
@@ -40,6 +46,8 @@
     Class,
     Body(serde_json::Error),
     Parts(&'static str),
+    /// The id of a query that is still open.
+    Open,
 }
 
 impl fmt::Display for Bad {
@@ -50,6 +58,7 @@
             Bad::Class => f.write_str("Req-Kind names no class"),
             Bad::Body(e) => write!(f, "body: {e}"),
             Bad::Parts(what) => write!(f, "tablets: {what}"),
+            Bad::Open => f.write_str("Req-Id is that of a query that is still open"),
         }
     }
 }
@@ -58,7 +67,28 @@
     pub core: Rc<Core<Nodes>>,
     pub told: Rc<Deployment>,
     pub closing: Rc<Closing>,
+    /// The ids of the queries that are open.
+    pub open: Rc<RefCell<BTreeSet<String>>>,
     pub log: Logger,
+    pub said: Said,
+}
+
+/// How many lines of each sort were logged lately.
+#[derive(Default)]
+pub struct Said {
+    bad: Ration,
+    refused: Ration,
+    unanswered: Ration,
+    gone: Ration,
+}
+
+/// An id that is in use until this is dropped.
+struct Taken(Rc<RefCell<BTreeSet<String>>>, String);
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
 }
 
 impl Front {
@@ -69,7 +99,9 @@
                 Ok(message) => message,
                 Err(e) => {
                     if let Some(status) = e.status() {
-                        warn!(self.log, "unusable request"; "error" => %e);
+                        if let Some(spared) = self.said.bad.line() {
+                            warn!(self.log, "unusable request"; "error" => %e, "spared" => spared);
+                        }
                         client.write(&Answer::new(status, fault(&e)), false).await;
                     }
                     return;
@@ -83,19 +115,25 @@
                 ("GET", "/_health") => self.health(),
                 ("POST", "/api") => match self.query(&message, &client.buffer, begun) {
                     Err(bad) => {
-                        warn!(self.log, "unusable query"; "error" => %bad);
-                        Answer::new(400, fault(&bad))
+                        if let Some(spared) = self.said.bad.line() {
+                            warn!(self.log, "unusable query"; "error" => %bad, "spared" => spared);
+                        }
+                        Answer::new(if matches!(bad, Bad::Open) { 409 } else { 400 }, fault(&bad))
                     }
-                    Ok(query) => match self.core.take(query) {
+                    Ok((query, _open)) => match self.core.take(query) {
                         None => {
-                            info!(self.log, "refused"; "why" => "as much is open as may be", "class" => message.header(&client.buffer, "Req-Kind"),
-                                "open" => self.core.open(), "held" => self.core.held());
+                            if let Some(spared) = self.said.refused.line() {
+                                info!(self.log, "refused"; "why" => "as much is open as may be",
+                                    "class" => message.header(&client.buffer, "Req-Kind"), "spared" => spared,
+                                    "open" => self.core.open(), "held" => self.core.held());
+                            }
                             self.refused(429, self.told.settings.retry_after)
                         }
                         Some(taken) => {
-                            if self.core.full() {
+                            if let Some(spared) = self.core.full().then(|| self.said.refused.line()).flatten()
+                            {
                                 info!(self.log, "no room for another query"; "open" => self.core.open(),
-                                    "held" => self.core.held());
+                                    "held" => self.core.held(), "spared" => spared);
                             }
                             let ended = async { Some(taken.outcome().await) };
                             let left = async {
@@ -104,17 +142,21 @@
                             };
                             match ended.or(left).await {
                                 Some(outcome) => {
-                                    if !matches!(outcome, Final::Answered { .. }) {
+                                    let bare = !matches!(outcome, Final::Answered { .. });
+                                    if let Some(spared) = bare.then(|| self.said.unanswered.line()).flatten()
+                                    {
                                         info!(self.log, "not answered"; "outcome" => ?outcome,
                                             "class" => message.header(&client.buffer, "Req-Kind"),
-                                            "after_ms" => begun.elapsed().as_millis() as u64);
+                                            "after_ms" => begun.elapsed().as_millis() as u64, "spared" => spared);
                                     }
                                     self.answer(&outcome)
                                 }
                                 // Dropping what was taken withdraws it.
                                 None => {
-                                    info!(self.log, "client gone"; "class" => message.header(&client.buffer, "Req-Kind"),
-                                        "after_ms" => begun.elapsed().as_millis() as u64);
+                                    if let Some(spared) = self.said.gone.line() {
+                                        info!(self.log, "client gone"; "class" => message.header(&client.buffer, "Req-Kind"),
+                                            "after_ms" => begun.elapsed().as_millis() as u64, "spared" => spared);
+                                    }
                                     return;
                                 }
                             }
@@ -140,15 +182,35 @@
         )
     }
 
-    fn query(&self, message: &Message, buffer: &Buffer, now: Instant) -> Result<Query<Carried>, Bad> {
-        let header = |name| message.header(buffer, name).ok_or(Bad::Missing(name));
+    /// The query of a request, and its id's place among the open ones. What cannot be served as it stands goes
+    /// no further. Guards the data nodes, which close on what they cannot read, whoever else waits there, and
+    /// the module from sums that mean nothing.
+    fn query(
+        &self,
+        message: &Message,
+        buffer: &Buffer,
+        now: Instant,
+    ) -> Result<(Query<Carried>, Taken), Bad> {
+        let header = |name| match message.only(buffer, name) {
+            Some(Ok(value)) => Ok(value),
+            Some(Err(())) => Err(Bad::Header(name)),
+            None => Err(Bad::Missing(name)),
+        };
         let id = header("Req-Id")?;
-        if id.is_empty() || id.len() > 128 || !id.bytes().all(|b| b.is_ascii_graphic()) {
+        // It goes into the lines of frames, where a dot, a space or a line end would stand for something else.
+        if !(1..=MOST_ID).contains(&id.len())
+            || !id.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_'))
+        {
             return Err(Bad::Header("Req-Id"));
         }
+        if self.open.borrow().contains(id) {
+            return Err(Bad::Open);
+        }
         let kind = header("Req-Kind")?;
         let class = self.told.class_names.iter().position(|c| c == kind).ok_or(Bad::Class)?;
-        let wait = header("Req-Deadline-Ms")?.parse().map_err(|_| Bad::Header("Req-Deadline-Ms"))?;
+        let wait = header("Req-Deadline-Ms")?;
+        let digits = wait.bytes().all(|b| b.is_ascii_digit());
+        let wait = wait.parse().ok().filter(|ms| digits && *ms > 0).ok_or(Bad::Header("Req-Deadline-Ms"))?;
         let deadline = now + Duration::from_millis(wait).min(LONGEST);
         let repeat = message.header(buffer, "Req-Retry") == Some("1");
         let body = message.body(buffer);
@@ -156,22 +218,26 @@
         let mut parts: Vec<(ShardId, f64)> =
             body.tablets.iter().map(|t| (ShardId(t.tablet), t.fraction)).collect();
         let shards = self.told.shards.unwrap_or(u32::MAX);
-        if parts.is_empty() || parts.iter().any(|(s, f)| s.0 >= shards || !(0.0..=1.0001).contains(f)) {
+        if parts.is_empty() || parts.iter().any(|(s, f)| s.0 >= shards || !(0.0..=1.0 + ROUNDING).contains(f))
+        {
             return Err(Bad::Parts("none, one that does not exist, or a fraction out of range"));
         }
         parts.sort_by_key(|p| p.0);
         if parts.windows(2).any(|w| w[0].0 == w[1].0) {
             return Err(Bad::Parts("one is named twice"));
         }
-        // Shares that were rounded on their way must not make a whole answer look short of its class's need.
+        // Shares that were rounded on their way must not make a whole answer look short of its class's need;
+        // shares that make no whole are not made one.
         let sum: f64 = parts.iter().map(|p| p.1).sum();
-        if sum <= 0.0 {
-            return Err(Bad::Parts("the fractions sum to nothing"));
+        if (sum - 1.0).abs() > ROUNDING * parts.len() as f64 {
+            return Err(Bad::Parts("the fractions do not add up to 1"));
         }
         parts.iter_mut().for_each(|p| p.1 /= sum);
         // Copied: attempts are written long after the buffer has moved on.
         let carried = Carried { id: id.to_owned(), statement: body.statement.as_bytes().to_vec() };
-        Ok(Query { class: ClassId(class as u16), deadline, repeat, parts, carried })
+        self.open.borrow_mut().insert(id.to_owned());
+        let open = Taken(self.open.clone(), id.to_owned());
+        Ok((Query { class: ClassId(class as u16), deadline, repeat, parts, carried }, open))
     }
 
     fn answer(&self, outcome: &Final) -> Answer {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -80,6 +80,14 @@
         found.map(|(_, value)| self.text(buffer, value))
     }
 
+    /// A header that may stand once: guards against two readers of a request each taking another one.
+    pub fn only<'a>(&self, buffer: &'a Buffer, name: &str) -> Option<Result<&'a str, ()>> {
+        let named = |(n, _): &&(Range<usize>, Range<usize>)| self.text(buffer, n).eq_ignore_ascii_case(name);
+        let mut found = self.headers.iter().filter(named).map(|(_, value)| self.text(buffer, value));
+        let first = found.next()?;
+        Some(if found.next().is_none() { Ok(first) } else { Err(()) })
+    }
+
     /// The body: a slice of the buffer, or, where it came in several chunks, those put together.
     pub fn body<'a>(&self, buffer: &'a Buffer) -> std::borrow::Cow<'a, [u8]> {
         let bytes = buffer.unread();
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -28,6 +28,11 @@
 const FRAME: Duration = Duration::from_millis(250);
 /// Given up parts that are remembered for a connection, so that their answers are known when they come late.
 const MOST_GIVEN_UP: usize = 64;
+/// How long a data node stays known that is gone. Its restarts are told from its last life for so long; any
+/// list says within seconds that it is back.
+const FORGET: Duration = Duration::from_secs(30);
+/// A connection's room for frames is kept up to this.
+const MOST_KEPT: usize = 16 * 1024;
 /// How long a probe may take where nothing says.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
@@ -126,12 +131,22 @@
 struct Node {
     address: SocketAddr,
     phase: Phase,
+    /// Since when it is gone, if it is.
+    gone: Option<Instant>,
     /// Counts its starts, as far as we were told of them.
     life: u64,
     born: u64,
     connections: Vec<Rc<Connection>>,
 }
 
+impl Node {
+    /// Note since when it is gone.
+    fn leave(&mut self) {
+        let since = self.gone.unwrap_or_else(Instant::now);
+        self.gone = (self.phase == Phase::Gone).then_some(since);
+    }
+}
+
 /// A data node as discovery lists it, in this co-ordinator's terms.
 pub struct Entry {
     pub name: String,
@@ -143,6 +158,8 @@
 pub struct Nodes {
     nodes: RefCell<BTreeMap<ReplicaId, Node>>,
     names: RefCell<BTreeMap<String, ReplicaId>>,
+    /// The last number given; none is given twice.
+    last: Cell<u64>,
     told: Deployment,
     executor: Rc<LocalExecutor<'static>>,
     log: Logger,
@@ -153,24 +170,46 @@
 
 impl Nodes {
     pub fn new(told: Deployment, room: usize, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Rc<Self> {
-        let (nodes, names) = Default::default();
-        let said = Ration::default();
-        Rc::new(Nodes { nodes, names, told, executor, log, said, room: Cell::new(room) })
+        let (nodes, names, last, said) = Default::default();
+        Rc::new(Nodes { nodes, names, last, told, executor, log, said, room: Cell::new(room) })
     }
 
-    /// The number under which a data node is known to the module; the same for as long as we run.
+    /// The number under which a data node is known to the module; the same for as long as it is known.
     pub fn id(&self, name: &str) -> ReplicaId {
         let mut names = self.names.borrow_mut();
-        let next = ReplicaId(names.len() as u64 + 1);
-        *names.entry(name.to_owned()).or_insert(next)
+        if let Some(id) = names.get(name) {
+            return *id;
+        }
+        self.last.set(self.last.get() + 1);
+        names.insert(name.to_owned(), ReplicaId(self.last.get()));
+        ReplicaId(self.last.get())
+    }
+
+    /// Data nodes that are known, gone ones among them.
+    pub fn known(&self) -> usize {
+        self.nodes.borrow().len()
+    }
+
+    /// Close what carries nothing to data nodes that want nothing, and forget those long gone. Guards a long
+    /// run, in which data nodes are replaced for good, against growing.
+    pub fn forget(&self, now: Instant) {
+        let mut nodes = self.nodes.borrow_mut();
+        nodes.retain(|_, node| {
+            if node.phase != Phase::Ready {
+                node.connections.iter().filter(|c| c.idle()).for_each(|c| c.close());
+                node.connections.retain(|c| !c.closed.get());
+            }
+            node.gone.is_none_or(|since| now < since + FORGET) || !node.connections.is_empty()
+        });
+        self.names.borrow_mut().retain(|_, id| nodes.contains_key(id));
     }
 
     /// Take over what discovery says of one data node. A drain counts from here on for whatever is queued.
     pub fn list(&self, entry: &Entry) -> ReplicaId {
         let id = self.id(&entry.name);
         let mut nodes = self.nodes.borrow_mut();
-        let new =
-            || Node { address: entry.address, phase: entry.phase, life: 0, born: 0, connections: Vec::new() };
+        let (address, phase, connections) = (entry.address, entry.phase, Vec::new());
+        let new = || Node { address, phase, gone: None, life: 0, born: 0, connections };
         let node = nodes.entry(id).or_insert_with(new);
         let restarted = entry.born > node.born && node.born + entry.born > 0;
         // Guards against waiting on connections to a process that is no more: its machine may have
@@ -181,6 +220,7 @@
         node.life += u64::from(restarted);
         node.born = node.born.max(entry.born);
         (node.address, node.phase) = (entry.address, entry.phase);
+        node.leave();
         id
     }
 
@@ -189,6 +229,7 @@
         for (id, node) in self.nodes.borrow_mut().iter_mut() {
             if !listed.contains(id) {
                 node.phase = Phase::Gone;
+                node.leave();
             }
         }
     }
@@ -280,6 +321,7 @@
                 continue;
             }
             bytes.clear();
+            bytes.shrink_to(MOST_KEPT);
             let (parts, probe) = self.next_frame(replica, connection, &mut bytes);
             connection.used.set(Instant::now());
             if let Some(probe) = probe {
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,16 @@
     pub probes: Tally,
 }
 
+impl Recent {
+    /// Drop what is older than anybody asks for.
+    pub fn trim(&mut self, since: f64) {
+        for tally in [&mut self.taken, &mut self.arrived, &mut self.copies, &mut self.extras, &mut self.sends]
+        {
+            tally.count(since);
+        }
+    }
+}
+
 /// Response times of parts, typical, at the 90th percentile and just now, and how many parts may be open.
 #[derive(Default)]
 pub struct Pace {
@@ -108,6 +118,8 @@
 #[derive(Default)]
 pub struct Replica {
     pub listed: Listed,
+    /// Since when it is gone, if it is.
+    pub gone: f64,
     pub report: Report,
     pub heard: f64,
     pub probed: f64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -655,3 +655,23 @@
     }
     assert!(!to_cold.is_empty() && to_warm > 100, "{} {to_warm}", to_cold.len());
 }
+
+/// Guards a long run against growing: replicas that are replaced for good are forgotten, one that is soon back is
+/// not.
+#[test]
+fn replicas_long_gone_are_forgotten() {
+    let mut rig = Rig::new(settings(), 3);
+    for n in 0..50 {
+        let gone = Listed { phase: Phase::Gone, ..listed(n, 0) };
+        let entries = vec![listed(n + 3, 0), gone];
+        rig.tell(&[Event::Members { news: News::Delta, entries }]);
+        rig.wait(1.0);
+        rig.serve(|_| Outcome::Served);
+    }
+    assert!((4..=34).contains(&rig.balancer.known()), "{}", rig.balancer.known());
+    // Never heard of, and gone: nothing to remember.
+    let (known, gone) = (rig.balancer.known(), Listed { phase: Phase::Gone, ..listed(99, 0) });
+    rig.tell(&[Event::Members { news: News::Delta, entries: vec![gone] }]);
+    assert!(rig.balancer.known() <= known);
+    assert!(!rig.serve(|_| Outcome::Served).is_empty(), "the others serve on");
+}
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -55,6 +55,24 @@
     assert!(node.join().expect("ran").iter().all(Option::is_some));
 }
 
+/// Guards a long run against growing, and its data nodes' restarts against being taken for new data nodes.
+#[test]
+fn data_nodes_long_gone_are_forgotten_and_their_numbers_never_given_again() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let nodes = Nodes::new(told(address), 8, Rc::new(LocalExecutor::new()), log);
+    let list = |n: u32, phase| nodes.list(&Entry { name: format!("n{n}"), address, phase, born: 0 });
+    let first: Vec<_> = (0..3).map(|n| list(n, Phase::Ready)).collect();
+    nodes.keep_only(&first[1..]);
+    let now = Instant::now();
+    nodes.forget(now + Duration::from_secs(10));
+    assert_eq!((nodes.known(), list(0, Phase::Gone)), (3, first[0]), "it may come back");
+    nodes.forget(now + Duration::from_secs(60));
+    assert_eq!(nodes.known(), 2);
+    assert_eq!(list(1, Phase::Ready), first[1]);
+    assert!(!first.contains(&list(0, Phase::Ready)), "a new one by now");
+}
+
 /// Guards the rule on drains: a send that was decided on while its node was up, and then waited for a
 /// connection, is not written once the node drains, is gone, or begins a new life.
 #[test]
