Space failed connects, free probation whose part is lost, keep parts in our own data room

Ruled out: CPU (0.06 s in the worst second before), descriptors, a cold fleet. At fault: `judge` let a replica that could not be reached be drawn at once again; `advance` took any late part for one that is tried. Now failed connects rest 0.2 s, a spent part frees the query. One of the drawn pair is of our room if any holder is; queues count in rounds of a replica's weight (2 cores).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -78,7 +78,7 @@
 const TOOK_HALF: f64 = 2.0;
 /// Seconds after which a replica that is gone is forgotten: longer than any attempt is out.
 const FORGET: f64 = 30.0;
-/// Seconds that a full replica is left alone.
+/// Seconds that a replica is left alone which is full, or could not be reached.
 const FULL_REST: f64 = 0.2;
 /// Probes stay under this share of recent parts; seconds between probes of one replica at least.
 const PROBE_SHARE: f64 = 0.1;
@@ -327,19 +327,25 @@
         all
     }
 
-    /// A random ordered pair; one already drawn in this round comes first while its call has room.
+    /// A random ordered pair; one already drawn in this round comes first while its call has room. One of the
+    /// two is of our zone if any is: crossing zones costs, and the shorter queue still decides.
     fn draw(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let mut pair = self.candidates(class, shard, avoid);
         for i in (1..pair.len()).rev() {
             pair.swap(i, (self.rng.next_u64() % (i as u64 + 1)) as usize);
         }
         pair.sort_by_key(|id| !self.has_room(*id));
+        let near = |id: &ReplicaId| self.replicas[id].listed.zone == self.s.zone;
+        if let Some(n) = pair.iter().position(near).filter(|n| *n > 1) {
+            pair.swap(1, n);
+        }
         pair.truncate(2);
         pair
     }
 
-    /// The shorter queue; a tie goes to an open call, then to the less busy one (by its response
-    /// times where answers don't tell), then to our zone.
+    /// The shorter queue; a tie goes to an open call, then to one that is not much busier (slower, where
+    /// answers don't tell), then to our zone, then to the less busy one. Queues are compared in whole rounds
+    /// of what a replica works on at once, by its weight: a part that need not wait is no queue.
     fn shorter(&self, pair: &[ReplicaId]) -> Option<ReplicaId> {
         let key = |id: &ReplicaId| {
             let r = &self.replicas[id];
@@ -347,7 +353,9 @@
                 Reports::Inline => 4.0 * r.report.busy.unwrap_or(0.0),
                 _ => 2.0 * self.usual_time(*id) / self.pace.typical.max(1e-6),
             } as i64;
-            (self.queue(*id), !self.has_room(*id), busy, r.listed.zone != self.s.zone)
+            let at_once = (r.listed.weight as i64).max(1);
+            let queue = self.queue(*id);
+            (queue / at_once, !self.has_room(*id), busy / 4, r.listed.zone != self.s.zone, queue, busy)
         };
         pair.iter().copied().min_by_key(key)
     }
@@ -546,10 +554,11 @@
     }
 
     fn judge(&mut self, id: ReplicaId, outcome: Outcome, took: f64, flight: Flight) {
+        let now = self.now;
         let Some(r) = self.replicas.get_mut(&id) else { return };
-        r.used = self.now;
+        r.used = now;
         match outcome {
-            Outcome::TurnedAway => r.rest = self.now + FULL_REST,
+            Outcome::TurnedAway => r.rest = now + FULL_REST,
             Outcome::Served => {
                 self.unanswered[usize::from(flight.paused)] *= 1.0 - GAIN;
                 r.whole.served(self.now, flight.sent);
@@ -560,6 +569,11 @@
                     self.suspect = self.now + SUSPECT;
                 }
                 r.used = 0.0;
+                // Guards a part's few attempts: where the others rest it alone is left, and they would all be
+                // spent on it within a millisecond.
+                if outcome == Outcome::NoConnection {
+                    r.rest = now + FULL_REST;
+                }
                 self.unanswered[0] += GAIN * (1.0 - self.unanswered[0]);
                 self.blame(id, flight, 1.0, true);
             }
@@ -893,7 +907,11 @@
         }
         order.sort();
         let probation = self.on_probation(query);
-        let mut tried = covered > 0.0 || !late.is_empty();
+        // Guards against waiting for a part whose attempts are spent: a query on probation would begin no
+        // other one, and keep its room to its end.
+        let lives = |p: &Part| p.out() || self.may_repeat(&query.class, p);
+        let tried_one = |(id, _): &(PartId, Why)| self.parts.get(id).is_some_and(lives);
+        let mut tried = covered > 0.0 || late.iter().any(tried_one);
         let need = if query.first.is_none() { query.class.need } else { 1.0 };
         for (_, id) in order {
             if (covered >= need - ROUNDING && need < 1.0) || (probation && tried) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -675,3 +675,38 @@
     assert!(rig.balancer.known() <= known);
     assert!(!rig.serve(|_| Outcome::Served).is_empty(), "the others serve on");
 }
+
+/// Guards a part's few attempts against one replica that cannot be reached while the others rest.
+#[test]
+fn attempts_that_cannot_connect_are_spaced() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.query(1);
+    for _ in 0..3 {
+        let actions = rig.end(0, Outcome::NoConnection, None);
+        assert_eq!(sends(&actions), [], "not again at once");
+        assert!(sends(&rig.wait(0.15)).is_empty());
+        assert_eq!(sends(&rig.wait(0.1)).len(), 1);
+    }
+}
+
+/// Guards admission against a query on probation whose one part is lost: it would wait to its end, with room for
+/// all its parts, and keep the others out.
+#[test]
+fn a_query_on_probation_begins_another_part_when_the_first_is_lost() {
+    let partly = Class { floor: 0.8, partial: 0.8, ..class() };
+    let mut rig = spread_rig(Settings { classes: vec![partly], most_tries: 2, ..settings() }, 20);
+    rig.query(1);
+    rig.end(0, Outcome::Reset, None);
+    rig.out.clear();
+    rig.wait(1.0);
+    rig.out.clear();
+    assert_eq!(sends(&wide_query(&mut rig, 16)).len(), 1, "one part first");
+    let lost = rig.out[0].0;
+    rig.end(0, Outcome::NoConnection, None);
+    rig.wait(0.3);
+    rig.out.retain(|o| o.0 == lost);
+    let mut actions = rig.end(0, Outcome::NoConnection, None);
+    actions.extend(rig.wait(0.3));
+    let other = |a: &Action| matches!(a, Action::Send { part, .. } if *part != lost);
+    assert!(actions.iter().any(other), "{actions:?}");
+}
