--- a/src/balance.rs
+++ b/src/balance.rs
@@ -327,25 +327,19 @@
         all
     }
 
-    /// A random ordered pair; one already drawn in this round comes first while its call has room. One of the
-    /// two is of our zone if any is: crossing zones costs, and the shorter queue still decides.
+    /// A random ordered pair; one already drawn in this round comes first while its call has room.
     fn draw(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let mut pair = self.candidates(class, shard, avoid);
         for i in (1..pair.len()).rev() {
             pair.swap(i, (self.rng.next_u64() % (i as u64 + 1)) as usize);
         }
         pair.sort_by_key(|id| !self.has_room(*id));
-        let near = |id: &ReplicaId| self.replicas[id].listed.zone == self.s.zone;
-        if let Some(n) = pair.iter().position(near).filter(|n| *n > 1) {
-            pair.swap(1, n);
-        }
         pair.truncate(2);
         pair
     }
 
-    /// The shorter queue; a tie goes to an open call, then to one that is not much busier (slower, where
-    /// answers don't tell), then to our zone, then to the less busy one. Queues are compared in whole rounds
-    /// of what a replica works on at once, by its weight: a part that need not wait is no queue.
+    /// The shorter queue; a tie goes to an open call, then to the less busy one (by its response
+    /// times where answers don't tell), then to our zone.
     fn shorter(&self, pair: &[ReplicaId]) -> Option<ReplicaId> {
         let key = |id: &ReplicaId| {
             let r = &self.replicas[id];
@@ -353,9 +347,7 @@
                 Reports::Inline => 4.0 * r.report.busy.unwrap_or(0.0),
                 _ => 2.0 * self.usual_time(*id) / self.pace.typical.max(1e-6),
             } as i64;
-            let at_once = (r.listed.weight as i64).max(1);
-            let queue = self.queue(*id);
-            (queue / at_once, !self.has_room(*id), busy / 4, r.listed.zone != self.s.zone, queue, busy)
+            (self.queue(*id), !self.has_room(*id), busy, r.listed.zone != self.s.zone)
         };
         pair.iter().copied().min_by_key(key)
     }
