Leave connections to data nodes that have fallen silent, and count given-up parts in their places

Checked with a probe at the write: 5,876 parts went onto connections with all 32 places taken, as on 'r6 waiting=0 given_up=32': 41 connections had fallen silent, stayed open, and the shorter queue drew parts there, as given-up ones counted for nothing. Ruled out: admission (open cap 15,687), the data nodes (20 parts turned away). At fault: `connection` and `load` in nodes.rs: no eye on whether a connection answers. Now a connection that owes an answer and brought none for 150 ms gets no more parts while another can be had; it goes after 400 ms if another answers, after 1 s in any case; given-up parts keep places.

--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -26,6 +26,11 @@
 const IDLE_SHARE: f64 = 0.8;
 /// How long a frame may take to come in from its first byte on.
 const FRAME: Duration = Duration::from_millis(250);
+/// For how long a connection may owe answers and bring none before further parts go to another one; before it is
+/// given up where another one to the same data node answers; and before it is given up in any case.
+const QUIET: Duration = Duration::from_millis(150);
+const SILENT: Duration = Duration::from_millis(400);
+const DEAD: Duration = Duration::from_secs(1);
 /// How long a data node may take to take a new connection after one broke, to count as living.
 const LIVES: Duration = Duration::from_millis(50);
 /// Given up parts that are remembered for a connection, so that their answers are known when they come late.
@@ -78,19 +83,40 @@
     wake: Wake,
     up: Cell<bool>,
     closed: Cell<bool>,
+    /// Since when it owes an answer and has brought none.
+    owes: Cell<Option<Instant>>,
+    /// Closed for that: its data node may be sound.
+    silent: Cell<bool>,
     used: Cell<Instant>,
 }
 
 impl Connection {
+    /// Parts that hold one of its places or wait for one. Given-up ones do too, until they are answered or out
+    /// of time: guards against parts that would wait unread, out of our reach.
     fn load(&self) -> usize {
-        let queue = self.queue.borrow();
-        queue.iter().filter(|o| matches!(o, Out::Part(_))).count() + self.waiting.borrow().len()
+        let (queue, now) = (self.queue.borrow(), Instant::now());
+        let given_up = self.given_up.borrow().iter().filter(|item| item.deadline > now).count();
+        let queued = queue.iter().filter(|o| matches!(o, Out::Part(_))).count();
+        queued + self.waiting.borrow().len() + given_up
     }
 
     fn idle(&self) -> bool {
         self.up.get() && self.queue.borrow().is_empty() && self.waiting.borrow().is_empty()
     }
 
+    fn quiet(&self, now: Instant, span: Duration) -> bool {
+        self.owes.get().is_some_and(|since| now >= since + span)
+    }
+
+    /// Give it up if it has been silent for so long. Guards against connections that stay open and carry
+    /// nothing any more, which no reset tells: whatever is written there is lost until its time is up.
+    fn hush(&self, now: Instant, span: Duration) {
+        if self.quiet(now, span) {
+            self.silent.set(true);
+            self.close();
+        }
+    }
+
     fn close(&self) {
         self.closed.set(true);
         self.wake.notify(usize::MAX);
@@ -241,9 +267,13 @@
     fn connection(self: &Rc<Self>, replica: ReplicaId) -> Option<(Rc<Connection>, u64)> {
         let mut nodes = self.nodes.borrow_mut();
         let node = nodes.get_mut(&replica).filter(|n| n.phase == Phase::Ready)?;
+        let now = Instant::now();
+        node.connections.iter().for_each(|c| c.hush(now, DEAD));
         node.connections.retain(|c| !c.closed.get());
-        let least = node.connections.iter().min_by_key(|c| (c.load(), !c.up.get())).cloned();
-        let free = least.as_ref().is_some_and(|c| c.load() < self.told.sockets.streams);
+        let order = |c: &&Rc<Connection>| (c.quiet(now, QUIET), c.load(), !c.up.get());
+        let least = node.connections.iter().min_by_key(order).cloned();
+        let good = |c: &Rc<Connection>| !c.quiet(now, QUIET) && c.load() < self.told.sockets.streams;
+        let free = least.as_ref().is_some_and(good);
         if free || (least.is_some() && (node.connections.len() >= MOST_CONNECTIONS || self.room.get() == 0)) {
             return least.map(|c| (c, node.life));
         }
@@ -264,6 +294,8 @@
             wake: Wake::new(),
             up: Cell::new(false),
             closed: Cell::new(false),
+            owes: Cell::new(None),
+            silent: Cell::new(false),
             used: Cell::new(Instant::now()),
         });
         node.connections.push(connection.clone());
@@ -304,7 +336,7 @@
                 connection.used.set(Instant::now());
                 connection.wake.notify(usize::MAX);
                 let (mut reader, mut writer) = (&stream, &stream);
-                let read = self.read(&connection, &mut reader);
+                let read = self.read(replica, &connection, &mut reader);
                 let write = self.write(replica, &connection, &mut writer);
                 let closed = async {
                     connection.wait(|| connection.closed.get()).await;
@@ -312,12 +344,12 @@
                 };
                 let unwritten = closed.or(write).or(read).await;
                 // We closed it ourselves where its process is known to be no more.
-                let known = connection.closed.get();
+                let (known, silent) = (connection.closed.get(), connection.silent.get());
                 let [unsent, lost] = connection.end(unwritten);
                 drop(stream);
                 self.room.set(self.room.get() + 1);
                 if !unsent.is_empty() || !lost.is_empty() {
-                    let lives = !known && self.lives(replica).await;
+                    let lives = silent || (!known && self.lives(replica).await);
                     ended(&unsent, if lives { Outcome::NotSent } else { Outcome::NoConnection });
                     ended(&lost, if lives { Outcome::Dropped } else { Outcome::Reset });
                 }
@@ -364,6 +396,9 @@
             // The parts wait from their first byte on, so that none is left out of what the connection holds;
             // until the last byte is written they have not run.
             connection.waiting.borrow_mut().extend(parts.iter().cloned());
+            if !parts.is_empty() && connection.owes.get().is_none() {
+                connection.owes.set(Some(Instant::now()));
+            }
             if stream.write_all(&bytes).await.is_err() {
                 let unwritten = |item: &Rc<Item>| parts.iter().any(|p| Rc::ptr_eq(p, item));
                 connection.waiting.borrow_mut().retain(|item| !unwritten(item));
@@ -427,7 +462,12 @@
     }
 
     /// Read answers until the connection ends or says what we cannot use.
-    async fn read(&self, connection: &Connection, stream: &mut &Async<TcpStream>) -> Vec<Rc<Item>> {
+    async fn read(
+        &self,
+        replica: ReplicaId,
+        connection: &Connection,
+        stream: &mut &Async<TcpStream>,
+    ) -> Vec<Rc<Item>> {
         let mut buffer = Buffer::default();
         let mut begun = Instant::now();
         loop {
@@ -445,7 +485,7 @@
                     return Vec::new();
                 }
                 Ok(Some((frame, length))) => {
-                    if !self.answered(connection, frame) {
+                    if !self.answered(replica, connection, frame) {
                         self.unusable(connection, "an answer that nobody waits for", &[]);
                         return Vec::new();
                     }
@@ -482,8 +522,18 @@
 
     /// Hand an answer to who waits for it. An answer to what was given up finds nobody, as is usual; any other
     /// that nobody waits for is spoilt, or one too many: `false`.
-    fn answered(&self, connection: &Connection, frame: Frame<'_>) -> bool {
-        connection.used.set(Instant::now());
+    fn answered(&self, replica: ReplicaId, connection: &Connection, frame: Frame<'_>) -> bool {
+        let now = Instant::now();
+        connection.used.set(now);
+        // This one answers: one beside it that does not is at fault itself.
+        if let Some(node) = self.nodes.borrow().get(&replica).filter(|n| n.connections.len() > 1) {
+            let others = node.connections.iter().filter(|c| !std::ptr::eq(&***c, connection));
+            others.for_each(|c| c.hush(now, SILENT));
+        }
+        let owing = |connection: &Connection| {
+            let some = !connection.waiting.borrow().is_empty();
+            connection.owes.set(some.then_some(now));
+        };
         match frame {
             Frame::Answer { id, end, score, report, value } => {
                 let mut waiting = connection.waiting.borrow_mut();
@@ -491,9 +541,13 @@
                     let mut given_up = connection.given_up.borrow_mut();
                     let Some(n) = given_up.iter().position(|item| item.id == id) else { return false };
                     given_up.remove(n);
+                    drop(waiting);
+                    owing(connection);
                     return true;
                 };
                 let item = waiting.remove(n);
+                drop(waiting);
+                owing(connection);
                 let report = self.report(report);
                 let (outcome, served) = match end {
                     // Copied: the value outlives the buffer, until its query is answered.
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -91,6 +91,73 @@
     assert!(next.as_ref().is_some_and(|f| f.starts_with("q a1.3 ")), "{next:?}");
 }
 
+/// Guards against parts that wait unread at a data node: given-up ones hold their places until they are answered.
+#[test]
+fn given_up_parts_hold_their_places_on_a_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let executor = Rc::new(LocalExecutor::new());
+    let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
+    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let deadline = Instant::now() + PATIENCE;
+    let begin = |shard| {
+        let call =
+            Call { replica, carried: carried.clone(), shard: ShardId(shard), step: Step::First, deadline };
+        let (hold, stop) = Stop::new();
+        (executor.spawn(nodes.clone().call(call, stop)), hold)
+    };
+    let (seen, all_seen) = async_channel::bounded(1);
+    let node = std::thread::spawn(move || {
+        let mut full = listener.accept().expect("accepted").0;
+        (0..32).for_each(|_| drop(read_frame(&mut full).expect("a part")));
+        seen.send_blocking(()).expect("told");
+        let mut stream = listener.accept().expect("accepted").0;
+        assert!(read_frame(&mut stream).is_some_and(|f| f.starts_with("q a1.99 ")));
+        stream.write_all(&frame("a a1.99 served 1 -\nV")).expect("written");
+    });
+    let begun: Vec<_> = (0..32).map(begin).collect();
+    async_io::block_on(executor.run(all_seen.recv())).expect("seen");
+    for (attempt, hold) in begun {
+        drop(hold);
+        assert_eq!(async_io::block_on(executor.run(attempt)).outcome, Outcome::Cancelled);
+    }
+    let last = begin(99);
+    assert_eq!(async_io::block_on(executor.run(last.0)).outcome, Outcome::Served);
+    node.join().expect("ran");
+}
+
+/// Guards against connections that stay open and silent: where one owes an answer, the next part goes to another.
+#[test]
+fn a_part_does_not_follow_others_onto_a_silent_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let executor = Rc::new(LocalExecutor::new());
+    let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
+    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let ask = |shard, wait| {
+        let (carried, deadline) = (carried.clone(), Instant::now() + Duration::from_millis(wait));
+        let call = Call { replica, carried, shard: ShardId(shard), step: Step::First, deadline };
+        let (_hold, stop) = Stop::new();
+        async_io::block_on(executor.run(nodes.clone().call(call, stop))).outcome
+    };
+    let node = std::thread::spawn(move || {
+        let mut silent = listener.accept().expect("accepted").0;
+        let first = read_frame(&mut silent);
+        let mut stream = listener.accept().expect("accepted").0;
+        let second = read_frame(&mut stream);
+        stream.write_all(&frame("a a1.4 served 1 -\nV")).expect("written");
+        (first, second)
+    });
+    assert_eq!(ask(3, 300), Outcome::TimedOut);
+    assert_eq!(ask(4, 5000), Outcome::Served);
+    let (first, second) = node.join().expect("ran");
+    assert!(
+        first.is_some_and(|f| f.starts_with("q a1.3 ")) && second.is_some_and(|f| f.starts_with("q a1.4 "))
+    );
+}
+
 /// Guards against holding a spoilt answer for the death of a data node: the part that it names has failed,
 /// the others went down with its connection, none counts as reset.
 #[test]
