Close connections by their answers in a crowd, and give clients three quarters of the descriptors

Each coordinator carries 62 queries a second on fresh connections that then stay; 2 s of rest each fill 125 places, and 250 while the other coordinator restarts. Ruled out: processor time (0.10 s in the worst second), the data nodes (none turned a part away), memory. At fault: `Acceptor` let connections rest until the room was taken, and main.rs kept half of the descriptors for data nodes, which take 30 (they carry 32 parts each). Now answers say `Connection: close` while three quarters of the room are taken, which a client hears of before it asks again, and the room is three quarters of the descriptors. What is left falls into the 1.5 s in which both coordinators are down.

--- a/src/main.rs
+++ b/src/main.rs
@@ -58,9 +58,10 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(ConfigError::Signals)?;
     let closing = Rc::new(Closing::default());
     let fronts = usize::from(config.platform.is_some()) + usize::from(config.opensearch.is_some());
-    // Half of them for clients, half for what is behind, of each front.
-    let descriptors = config.sockets.saturating_sub(RESERVED).max(16) / (2 * fronts.max(1));
-    let acceptor = || Acceptor::new(executor.clone(), closing.clone(), descriptors, log.clone());
+    // A quarter for what is behind, where connections carry many parts each, the rest for clients, of each front.
+    let all = config.sockets.saturating_sub(RESERVED).max(16) / fronts.max(1);
+    let (descriptors, room) = (all / 4, all - all / 4);
+    let acceptor = || Acceptor::new(executor.clone(), closing.clone(), room, log.clone());
     let mut accepted = Vec::new();
     let (moved, moves) = async_channel::unbounded();
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -109,6 +109,8 @@
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
     pub freed: Wake,
     most: usize,
+    /// Three quarters of the room are taken.
+    crowded: Rc<Cell<bool>>,
     log: Logger,
 }
 
@@ -119,7 +121,8 @@
         most: usize,
         log: Logger,
     ) -> Rc<Self> {
-        Rc::new(Acceptor { executor, closing, seats: RefCell::default(), freed: Wake::new(), most, log })
+        let (seats, freed, crowded) = Default::default();
+        Rc::new(Acceptor { executor, closing, seats, freed, most, crowded, log })
     }
 
     /// Connections that are being served.
@@ -127,6 +130,10 @@
         self.seats.borrow().len()
     }
 
+    fn count(&self) {
+        self.crowded.set(4 * self.held() >= 3 * self.most);
+    }
+
     /// Wait for room, and make it. Guards against clients that keep their connections and ask no more, or
     /// connect and say nothing: were they left to hold all there is, nobody else would be served.
     async fn room(&self) {
@@ -164,12 +171,15 @@
                     let (doing, since) = (Cell::new(Doing::Mute), Cell::new(now));
                     let seat = Rc::new(Seat { doing, since, closed: Cell::new(false), wake: Wake::new() });
                     self.seats.borrow_mut().insert(number, seat.clone());
+                    self.count();
                     let (closing, acceptor) = (self.closing.clone(), self.clone());
                     let buffer = Buffer::default();
-                    let served = serve(Client { stream, buffer, seat, closing, accepted: now, asked: false });
+                    let (crowded, accepted, asked) = (self.crowded.clone(), now, false);
+                    let served = serve(Client { stream, buffer, seat, closing, crowded, accepted, asked });
                     let life = async move {
                         served.await;
                         acceptor.seats.borrow_mut().remove(&number);
+                        acceptor.count();
                         acceptor.freed.notify(1);
                     };
                     self.executor.spawn(life).detach();
@@ -191,6 +201,7 @@
     pub buffer: Buffer,
     seat: Rc<Seat>,
     closing: Rc<Closing>,
+    crowded: Rc<Cell<bool>>,
     accepted: Instant,
     /// Whether a request of its has come in.
     asked: bool,
@@ -199,7 +210,7 @@
 impl Client {
     /// Read the next request, unless the connection ends, says nothing for long, or is closed between requests.
     pub async fn next(&mut self) -> Result<Message, HttpError> {
-        let Client { stream, buffer, seat, closing, accepted, asked } = self;
+        let Client { stream, buffer, seat, closing, accepted, asked, .. } = self;
         let (mut stream, first) = (&*stream, !*asked);
         if buffer.unread().is_empty() {
             seat.set(if first { Doing::Mute } else { Doing::Resting });
@@ -251,9 +262,11 @@
         }
     }
 
-    /// Write an answer; whether the connection can go on. Where it cannot, the answer is its last.
+    /// Write an answer; whether the connection can go on. Where it cannot, the answer is its last. Guards the room
+    /// for connections: in a crowd of clients that keep theirs, each answer says that the connection closes, which
+    /// the client hears of in time; one that rests could only be closed after a while, and might cross a request.
     pub async fn write(&mut self, answer: &Answer, keep_alive: bool) -> bool {
-        let keep_alive = keep_alive && !self.closing.begun.get();
+        let keep_alive = keep_alive && !self.closing.begun.get() && !self.crowded.get();
         let bytes = answer.bytes(keep_alive);
         let written = by(Instant::now() + LEAVE, (&self.stream).write_all(&bytes)).await;
         if matches!(written, Some(Ok(()))) && !keep_alive {
