Take hundreds of connections at once, and give a request two seconds to come in

Checked: room is made within 0.25 s of need, so they were not held too long once accepted; the listener's queue is std's 128, and what comes beyond it is dropped and tried again by the client's machine a second later (the new test stops the program and connects 300 times: fails with the queue of 128). Now the queue is 1,024 and a request has 2 s from its connection's start. Lines on unusable searches and failed accepts are rationed, on both fronts.

--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 use config::{Config, ConfigError};
 use marlgap::core::{Core, Transport};
 use marlgap::interface::News;
-use marlgap::net::clients::{Acceptor, Closing};
+use marlgap::net::clients::{self, Acceptor, Closing};
 use marlgap::net::discovery::Discovery;
 use marlgap::net::front::Front;
 use marlgap::net::nodes::Nodes;
@@ -142,7 +142,7 @@
 }
 
 fn listen(address: SocketAddr) -> Result<Async<TcpListener>, ConfigError> {
-    Async::<TcpListener>::bind(address).map_err(|e| ConfigError::Listen(address, e))
+    clients::listen(address).map_err(|e| ConfigError::Listen(address, e))
 }
 
 async fn count<T: Transport>(core: Rc<Core<T>>, front: &'static str, log: Logger) {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -2,7 +2,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,15 +14,19 @@
 use slog::{warn, Logger};
 
 use super::buffer::Buffer;
-use super::by;
 use super::http::{self, Answer, HttpError, Kind, Message};
+use super::{by, Ration};
 
 /// How long a connection may rest between requests, and an answer may take to leave.
 const IDLE: Duration = Duration::from_secs(60);
 const LEAVE: Duration = Duration::from_secs(5);
 /// How long a request may take to come in: the first one from the connection's start on, a later one from its
-/// first byte. Who sends nothing or trickles is owed an error or a close within three seconds.
-const ARRIVE: Duration = Duration::from_millis(2500);
+/// first byte. Who sends nothing or trickles is owed an error or a close within three seconds, and may have
+/// waited to be accepted.
+const ARRIVE: Duration = Duration::from_secs(2);
+/// Connections that the machine may take for us before we accept them. Guards a client's against being dropped,
+/// and tried again by its machine a second later, when hundreds come at once.
+const BACKLOG: i32 = 1024;
 /// How long, and for how much, the input is drained behind a last answer.
 const LINGER: Duration = Duration::from_secs(1);
 const MOST_LINGER: usize = 256 * 1024;
@@ -112,6 +117,7 @@
     /// Three quarters of the room are taken.
     crowded: Rc<Cell<bool>>,
     log: Logger,
+    said: Ration,
 }
 
 impl Acceptor {
@@ -121,8 +127,8 @@
         most: usize,
         log: Logger,
     ) -> Rc<Self> {
-        let (seats, freed, crowded) = Default::default();
-        Rc::new(Acceptor { executor, closing, seats, freed, most, crowded, log })
+        let (seats, freed, crowded, said) = Default::default();
+        Rc::new(Acceptor { executor, closing, seats, freed, most, crowded, log, said })
     }
 
     /// Connections that are being served.
@@ -186,7 +192,9 @@
                 }
                 // Out of descriptors, or the peer was gone already: the next one may do better.
                 Some(Err(e)) => {
-                    warn!(self.log, "could not accept a connection"; "error" => %e);
+                    if let Some(spared) = self.said.line() {
+                        warn!(self.log, "could not accept a connection"; "error" => %e, "spared" => spared);
+                    }
                     Timer::at(Instant::now() + Duration::from_millis(20)).await;
                 }
                 None => return,
@@ -195,6 +203,13 @@
     }
 }
 
+/// A listener for clients at `address`.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let listener = Async::<TcpListener>::bind(address)?;
+    rustix::net::listen(&listener, BACKLOG)?;
+    Ok(listener)
+}
+
 /// A client's connection.
 pub struct Client {
     stream: Async<TcpStream>,
--- a/src/net/opensearch/front.rs
+++ b/src/net/opensearch/front.rs
@@ -15,6 +15,7 @@
 use crate::net::buffer::Buffer;
 use crate::net::clients::{Client, Closing};
 use crate::net::http::{Answer, Message};
+use crate::net::Ration;
 use crate::settings::Deployment;
 
 /// An answer that comes this close before the end of its time was cut off by it.
@@ -28,6 +29,7 @@
     pub shards: u32,
     pub closing: Rc<Closing>,
     pub log: Logger,
+    pub said: Ration,
 }
 
 /// A search that was understood, on its way into the core.
@@ -113,7 +115,9 @@
             }
         };
         let refuse = |bad: BadQuery| {
-            warn!(self.log, "unusable search"; "error" => %bad);
+            if let Some(spared) = self.said.line() {
+                warn!(self.log, "unusable search"; "error" => %bad, "spared" => spared);
+            }
             error(400, bad.kind, &bad.reason)
         };
         if index.contains([',', '*']) {
--- a/src/net/opensearch/mod.rs
+++ b/src/net/opensearch/mod.rs
@@ -138,6 +138,7 @@
             shards: self.shards,
             closing: closing.clone(),
             log: log.clone(),
+            said: Default::default(),
         }))
     }
 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -226,3 +226,20 @@
     assert!(thin_worth < asked && thin_worth > 0.9 * asked, "{thin_worth} of {asked}");
     assert!((thin_worth - api_worth).abs() <= 0.02 * thin_worth, "{thin_worth} and {api_worth} of {asked}");
 }
+
+/// Guards against connections that the machine drops when hundreds come at once: also while we have no time to
+/// accept them, they are taken, and each is served or closed later.
+#[test]
+fn hundreds_of_connections_at_once_are_taken() {
+    let discovery = silent();
+    let at = discovery.local_addr().expect("bound");
+    let program = Program::start(&configure("hundreds", &standins(1, true, mixed), at, 1, 75), false);
+    program.signal("-STOP");
+    let begun: Vec<_> =
+        (0..300).map(|_| TcpStream::connect_timeout(&program.address, PATIENCE / 4)).collect();
+    program.signal("-CONT");
+    let failed = begun.iter().filter(|c| c.is_err()).count();
+    assert_eq!(failed, 0, "of 300 connections");
+    let mut last = connect(program.address);
+    assert_eq!(ask(&mut last, "GET /_health HTTP/1.1\r\nHost: t", "").0, 200);
+}
