Let a full data node rest no longer than it is full, and leave the dead to rest

The admission limit swings between 150 and 300 parts over 8 data nodes. Cause: a data node that turned one part away was left alone for 0.2 s, idle, while its queue drained in 0.1 s; with a third gone all of them rest together, so the draw falls back on ejected ones (the only ones that do not rest), which cost a part's attempts 0.25 s each. The limit grew by 0.3 for each part served, also right after a cut, so the overflow came again at once. Ruled out: late timers (the loop's longest gap was 38 ms), `Dropped` itself (0 to 53 of 400 in 0.25 s, after the jam began), probation. Now a full data node rests until half of what it held of ours is answered, 0.2 s at most; a part waits for a sound holder that rests instead of going to an ejected one; the limit's step comes back over 2 s.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -70,6 +70,8 @@
 const LIMIT_LEAST: f64 = 4.0;
 const LIMIT_STEP: f64 = 0.3;
 const LIMIT_CUT: f64 = 0.85;
+/// Seconds after a cut in which the limit's step comes back to its full size.
+const EASED: f64 = 2.0;
 /// Expected time of a query over its aim, under which the limit grows and over which it shrinks.
 const STRAIN_LOW: f64 = 0.4;
 const STRAIN_HIGH: f64 = 0.5;
@@ -310,17 +312,21 @@
 
     /// Who may be drawn: healthy holders, else the least bad one. A cold replica with no room left is never
     /// drawn, whatever the others look like; nor is one that just turned work away, which spaces the retries.
+    /// Where only rest keeps a sound holder from it, the part waits. Guards a part's few attempts: when a room
+    /// is lost and the rest is full, they would be spent on the dead, which are all that does not rest.
     fn candidates(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let mut all = self.holders(shard);
         let now = self.now;
-        all.retain(|id| self.replicas[id].rest <= now && self.cold_room(*id));
+        let sound = |r: &Replica| r.until(class) <= now && r.whole.trials == 0;
+        let resting = all.iter().map(|id| &self.replicas[id]).any(|r| r.rests(now) && sound(r));
+        all.retain(|id| !self.replicas[id].rests(now) && self.cold_room(*id));
         let good = |id: &&ReplicaId| self.replicas[*id].usable(class, now) && !avoid.contains(id);
         let healthy: Vec<_> = all.iter().filter(good).copied().collect();
-        if !healthy.is_empty() {
+        if !healthy.is_empty() || resting {
             return healthy;
         }
         let until = |id: &ReplicaId| self.replicas[id].until(class).max(now);
-        let worse = |id: &ReplicaId| (avoid.contains(id), until(id) > now);
+        let worse = |id: &ReplicaId| (!self.replicas[id].usable(class, now), avoid.contains(id));
         all.sort_by(|a, b| until(a).total_cmp(&until(b)));
         all.sort_by_key(worse);
         all.truncate(1);
@@ -550,7 +556,7 @@
         let Some(r) = self.replicas.get_mut(&id) else { return };
         r.used = now;
         match outcome {
-            Outcome::TurnedAway => r.rest = now + FULL_REST,
+            Outcome::TurnedAway => (r.rest, r.full) = (now + FULL_REST, r.out.len()),
             Outcome::Served => {
                 self.unanswered[usize::from(flight.paused)] *= 1.0 - GAIN;
                 r.whole.served(self.now, flight.sent);
@@ -564,7 +570,7 @@
                 // Guards a part's few attempts: where the others rest it alone is left, and they would all be
                 // spent on it within a millisecond.
                 if outcome == Outcome::NoConnection {
-                    r.rest = now + FULL_REST;
+                    (r.rest, r.full) = (now + FULL_REST, 0);
                 }
                 self.unanswered[0] += GAIN * (1.0 - self.unanswered[0]);
                 self.blame(id, flight, 1.0, true);
@@ -756,7 +762,7 @@
             self.pace.eased = self.now;
             self.pace.limit = (self.pace.limit * LIMIT_CUT).max(LIMIT_LEAST);
         } else if outcome == Outcome::Served && strain < STRAIN_LOW && self.open() > 0.5 * self.pace.limit {
-            self.pace.limit += LIMIT_STEP;
+            self.pace.limit += LIMIT_STEP * ((self.now - self.pace.eased) / EASED).min(1.0);
         }
     }
 
@@ -966,6 +972,11 @@
         self.listed.phase = phase;
     }
 
+    /// Left alone: it is full, until half of what it held of ours is answered, or it could not be reached.
+    fn rests(&self, now: f64) -> bool {
+        self.rest > now && 2 * self.out.len() >= self.full
+    }
+
     fn usable(&self, class: ClassId, now: f64) -> bool {
         let tried = self.whole.trials > 0 || self.classes.get(&class).is_some_and(|b| b.trials > 0);
         self.until(class) <= now && (!tried || self.out.is_empty())
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,6 +132,8 @@
     pub out: BTreeMap<(PartId, u8), Flight>,
     pub sent: Tally,
     pub rest: f64,
+    /// Parts of ours that it held when it was full.
+    pub full: usize,
     pub whole: Blame,
     pub classes: BTreeMap<ClassId, Blame>,
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -710,3 +710,36 @@
     let other = |a: &Action| matches!(a, Action::Send { part, .. } if *part != lost);
     assert!(actions.iter().any(other), "{actions:?}");
 }
+
+#[test]
+fn a_full_replica_rests_until_half_of_what_it_held_is_answered() {
+    let mut rig = Rig::new(settings(), 1);
+    assert_eq!(sends(&rig.query(5)).len(), 5);
+    rig.now += 0.01;
+    assert_eq!(
+        rig.end(4, Outcome::TurnedAway, None).iter().filter(|a| matches!(a, Action::Send { .. })).count(),
+        0
+    );
+    // It holds four: with three and two it is left alone, though it answers; with one it is not.
+    for left in [3, 2, 1] {
+        rig.now += 0.01;
+        let sent = sends(&rig.end(0, Outcome::Served, None)).len();
+        assert_eq!(sent, usize::from(left == 1), "{left} left");
+    }
+}
+
+#[test]
+fn a_part_waits_for_a_full_replica_rather_than_go_to_an_ejected_one() {
+    let mut rig = Rig::new(settings(), 2);
+    let dead = |r: ReplicaId| if r == ReplicaId(1) { Outcome::NoConnection } else { Outcome::Served };
+    while !rig.serve(dead).contains(&ReplicaId(1)) {}
+    // It rests no more, and is out of the draw for the best part of a second.
+    rig.wait(0.25);
+    rig.query(1);
+    assert_eq!(rig.out.last().map(|o| o.2), Some(ReplicaId(0)));
+    rig.now += 0.01;
+    let mut actions = rig.end(0, Outcome::TurnedAway, None);
+    actions.extend(rig.wait(0.18));
+    assert_eq!(sends(&actions), []);
+    assert_eq!(sends(&rig.wait(0.04)), [ReplicaId(0)], "tried before, but not the dead one");
+}
