--- a/src/balance.rs
+++ b/src/balance.rs
@@ -152,6 +152,13 @@
         })
     }
 
+    /// Further classes, behind those that are there.
+    pub fn extend(&mut self, classes: &[Class]) -> Result<(), SettingsError> {
+        let mut settings = self.s.clone();
+        settings.classes.extend_from_slice(classes);
+        check(&settings).map(|()| self.s = settings)
+    }
+
     /// Take the events of a round and decide.
     pub fn round(&mut self, now: f64, events: &[Event]) -> Vec<Action> {
         if self.born == f64::NEG_INFINITY {
@@ -187,6 +194,7 @@
             Event::Query { .. } => self.take_query(event),
             Event::Part { part, number, shard, weight } => self.take_part(*part, *number, *shard, *weight),
             Event::Outcome { .. } => self.outcome(event),
+            Event::Committed { .. } => self.committed(event),
             // A probe that failed may have waited behind parts: no proof of a bad replica.
             Event::Probed { replica, report, .. } => self.hear(*replica, report),
             Event::Withdrawn { query } => self.withdrawn(*query),
@@ -312,8 +320,8 @@
 
     /// Who may be drawn: healthy holders, else the least bad one. A cold replica with no room left is never
     /// drawn, whatever the others look like; nor is one that just turned work away, which spaces the retries.
-    /// Where only rest keeps a sound holder from it, the part waits. Guards a part's few attempts: when a room
-    /// is lost and the rest is full, they would be spent on the dead, which are all that does not rest.
+    /// Where only rest keeps a sound holder from it, the part waits. Guards a part's few attempts: when a
+    /// room is lost and the rest is full, they would be spent on the dead, which are all that does not rest.
     fn candidates(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let mut all = self.holders(shard);
         let now = self.now;
@@ -363,7 +371,8 @@
     fn may_copy(&mut self, class: &Class, pair: &[ReplicaId]) -> bool {
         let &[a, b] = pair else { return false };
         let idle = [a, b].iter().all(|id| self.idle(*id) && self.replicas[id].whole.trials == 0);
-        let safe = class.effect == Effect::Safe && self.s.second_copies && self.s.most_tries > 1;
+        let safe =
+            class.effect == Effect::Safe && class.copies && self.s.second_copies && self.s.most_tries > 1;
         let tenth = COPY_SHARE * self.recent.arrived.count(self.now - RECENT);
         let room = self.recent.copies.count(self.now - RECENT) + 1.0 < tenth;
         safe && idle && room && self.may_add(Why::Copy)
@@ -415,7 +424,10 @@
             self.out.push(Action::CloseIdle { replica });
             paused = false;
         }
-        r.out.insert((part, n), Flight { sent: self.now, class: p.class, paused, silent: false });
+        r.out.insert(
+            (part, n),
+            Flight { sent: self.now, class: p.class, paused, silent: false, streams: false },
+        );
         r.used = self.now;
         r.sent.add(self.now);
         *self.calls.entry(replica).or_insert(0) += 1;
@@ -453,7 +465,7 @@
             Effect::Unsafe => first == f64::INFINITY,
         };
         let tries = part.attempts.len() < self.s.most_tries as usize;
-        allowed && !part.over && (!out || self.s.second_copies) && tries
+        allowed && !part.over && (!out || (self.s.second_copies && class.copies)) && tries
     }
 
     /// Late: nothing out any more, or all that is out has been for long or sits on a suspect replica.
@@ -497,7 +509,7 @@
         let known = self.replicas.get_mut(replica).and_then(|r| r.out.remove(&(*part, *attempt)));
         if let Some(flight) = known {
             self.hear(*replica, report);
-            if *outcome == Outcome::Served && took.is_finite() {
+            if *outcome == Outcome::Served && took.is_finite() && !flight.streams {
                 self.measure(*replica, *took);
             }
             self.steer(*part, *outcome);
@@ -520,6 +532,24 @@
         }
     }
 
+    /// A value that streams counts as answered from its first message on; its own end ends the part.
+    fn committed(&mut self, event: &Event) {
+        let &Event::Committed { part, attempt, replica, took } = event else { return };
+        let flight = self.replicas.get_mut(&replica).and_then(|r| r.out.get_mut(&(part, attempt)));
+        if let Some(flight) = flight.filter(|f| !f.streams) {
+            (flight.streams, flight.silent) = (true, false);
+            self.measure(replica, took);
+        }
+        let Some(p) = self.parts.get_mut(&part) else { return };
+        p.over = true;
+        for (n, a) in p.attempts.iter_mut().enumerate().filter(|(n, _)| *n != usize::from(attempt)) {
+            if a.state == State::Out && !a.cancelled {
+                a.cancelled = true;
+                self.out.push(Action::Cancel { part, attempt: n as u8 });
+            }
+        }
+    }
+
     fn cancel_part(&mut self, id: PartId) {
         let Some(part) = self.parts.get_mut(&id).filter(|_| self.s.cancel) else { return };
         for (n, a) in part.attempts.iter_mut().enumerate() {
@@ -639,7 +669,7 @@
         let limit = self.now - (SILENT_TAIL * self.pace.tail).max(8.0 * self.s.round);
         let mut found = Vec::new();
         for (id, r) in &mut self.replicas {
-            for f in r.out.values_mut().filter(|f| !f.silent && f.sent < limit) {
+            for f in r.out.values_mut().filter(|f| !f.silent && !f.streams && f.sent < limit) {
                 found.push((*id, *f));
                 f.silent = true;
             }
@@ -774,7 +804,8 @@
     /// Parts that are out, and all of an admitted query on probation: what it holds back comes in one go.
     /// Parts that wait for a retry hold no room.
     fn open(&self) -> f64 {
-        let out = |id: &&PartId| self.parts.get(id).is_some_and(|p| !p.served && p.out());
+        // What streams is past the wait that this limit is about.
+        let out = |id: &&PartId| self.parts.get(id).is_some_and(|p| !p.served && !p.over && p.out());
         let room = |q: &Query| match self.on_probation(q) {
             true => q.parts.len() as f64 * q.class.need,
             false => q.parts.iter().filter(out).count() as f64,
@@ -862,7 +893,8 @@
         let begun = !first || held.iter().any(|p| !p.attempts.is_empty());
         // Not begun, and it cannot be done within its aim as parts go now.
         let hopeless = !begun && query.aim > self.now && self.now + self.expected(&class) > query.aim;
-        let worthless = first && self.now > query.aim && class.late_worth <= 0.0;
+        let streams = held.iter().any(|p| p.over && p.out());
+        let worthless = first && self.now > query.aim && class.late_worth <= 0.0 && !streams;
         if whole || (floor < need && share >= floor - ROUNDING && share > 0.0 && due) {
             let whole = whole && query.first.unwrap_or(true);
             self.out.push(Action::Answer { query: query.id, whole });
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,7 +6,8 @@
 
 use marlgap::interface::SettingsError;
 use marlgap::net::discovery::List;
-use marlgap::net::opensearch::{Setup, SetupError};
+use marlgap::net::StartError;
+use marlgap::operator::{Operator, OperatorError};
 use marlgap::settings::{self, Deployment, Unreadable};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -22,8 +23,8 @@
     Settings(SettingsError),
     Listen(SocketAddr, io::Error),
     Signals(io::Error),
-    OpenSearch(SetupError),
-    Argument(String),
+    Start(StartError),
+    Operator(OperatorError),
 }
 
 impl fmt::Display for ConfigError {
@@ -38,10 +39,8 @@
             ConfigError::Settings(e) => write!(f, "{e}"),
             ConfigError::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
             ConfigError::Signals(e) => write!(f, "cannot handle signals: {e}"),
-            ConfigError::OpenSearch(e) => write!(f, "{e}"),
-            ConfigError::Argument(text) => {
-                write!(f, "'{text}' is not an option; usage: marlgap [--opensearch FILE]")
-            }
+            ConfigError::Start(e) => write!(f, "{e}"),
+            ConfigError::Operator(e) => write!(f, "{e}"),
         }
     }
 }
@@ -69,8 +68,8 @@
 /// What this co-ordinator serves, and with what.
 pub struct Config {
     pub platform: Option<Platform>,
-    /// The second front: off unless it is asked for.
-    pub opensearch: Option<Setup>,
+    /// The fronts of the operator's own file: off unless it is named.
+    pub operator: Option<Operator>,
     pub seed: u64,
     pub sockets: usize,
 }
@@ -91,22 +90,17 @@
     }
 }
 
-/// Read the configuration that the environment and the arguments name.
-pub fn read() -> Result<Config, ConfigError> {
-    let mut config = Config { platform: None, opensearch: None, seed: 0, sockets: 1024 };
-    let mut arguments = std::env::args().skip(1);
-    while let Some(argument) = arguments.next() {
-        match (argument.as_str(), arguments.next()) {
-            ("--opensearch", Some(path)) => {
-                let setup = Setup::read(Path::new(&path)).map_err(ConfigError::OpenSearch)?;
-                config.opensearch = Some(setup);
-            }
-            _ => return Err(ConfigError::Argument(argument)),
-        }
+/// Read the configuration that the environment names, and the operator's file if there is one.
+pub fn read(operator: Option<&Path>) -> Result<Config, ConfigError> {
+    let mut config = Config { platform: None, operator: None, seed: 0, sockets: 1024 };
+    if let Some(path) = operator {
+        // With all that it names: bad records at the start end it there; later on they only change nothing.
+        marlgap::cli::check(path).map_err(ConfigError::Operator)?;
+        config.operator = Some(Operator::read(path).map_err(ConfigError::Operator)?);
     }
     let var = |name: &'static str| std::env::var(name).ok();
     match var("RELAY_CONFIG") {
-        None if config.opensearch.is_some() => return Ok(config),
+        None if config.operator.is_some() => return Ok(config),
         None => return Err(ConfigError::Missing("RELAY_CONFIG")),
         Some(path) => {
             let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Read(path, e))?;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -60,12 +60,41 @@
 }
 
 /// One attempt of one part.
-pub struct Call<C> {
+pub struct Call<T: Transport> {
     pub replica: ReplicaId,
-    pub carried: Rc<C>,
+    pub carried: Rc<T::Carried>,
     pub shard: ShardId,
     pub step: Step,
     pub deadline: Instant,
+    /// Whose it is, and which attempt of which part, sent when.
+    of: Option<(Rc<Core<T>>, PartId, u8, Instant)>,
+}
+
+impl<T: Transport> Call<T> {
+    /// A call of no core, as a transport is tried with alone: it is the only attempt of its part.
+    pub fn alone(
+        replica: ReplicaId,
+        carried: Rc<T::Carried>,
+        shard: ShardId,
+        step: Step,
+        deadline: Instant,
+    ) -> Call<T> {
+        Call { replica, carried, shard, step, deadline, of: None }
+    }
+
+    /// Commit the part to this attempt, before the first of its value goes to the client: its other attempts are
+    /// called off in the same breath, and no further one is made. `false` where another attempt was first, or the
+    /// query is over: nothing of this one may go out then. What comes of the attempt is still told by its one end.
+    pub fn commit(&self) -> bool {
+        let Some((core, part, attempt, sent)) = &self.of else { return true };
+        core.commit(*part, *attempt, self.replica, *sent)
+    }
+
+    /// Whether this attempt has committed its part.
+    pub fn committed(&self) -> bool {
+        let Some((core, part, attempt, _)) = &self.of else { return true };
+        core.state.borrow().parts.get(part).is_some_and(|p| p.committed == Some(*attempt))
+    }
 }
 
 /// Resolves when an attempt is called off.
@@ -105,9 +134,9 @@
 }
 
 /// Carries attempts to replicas. Each call resolves once, with the outcome of that attempt.
-pub trait Transport: 'static {
+pub trait Transport: Sized + 'static {
     type Carried: 'static;
-    fn call(self: Rc<Self>, call: Call<Self::Carried>, stop: Stop) -> impl Future<Output = Ended>;
+    fn call(self: Rc<Self>, call: Call<Self>, stop: Stop) -> impl Future<Output = Ended>;
     /// Whether the replica answered, and its report.
     fn probe(self: Rc<Self>, replica: ReplicaId) -> impl Future<Output = (bool, Option<Report>)>;
     fn close_idle(&self, replica: ReplicaId);
@@ -119,6 +148,8 @@
     step: Step,
     value: Option<(Value, f64)>,
     attempts: u8,
+    /// The attempt whose value has begun to go to the client.
+    committed: Option<u8>,
 }
 
 struct Open<C> {
@@ -172,10 +203,16 @@
     core: Weak<Core<T>>,
     query: QueryId,
     deadline: Instant,
+    carried: Rc<T::Carried>,
     done: Receiver<Final>,
 }
 
 impl<T: Transport> Taken<T> {
+    /// What the front handed in, while the query is open; for a front that streams.
+    pub fn carried(&self) -> Rc<T::Carried> {
+        self.carried.clone()
+    }
+
     /// The final outcome. Guards against a query that the module forgets: it ends with its time.
     pub async fn outcome(&self) -> Final {
         let ended = async { self.done.recv().await.unwrap_or(Final::Failed) };
@@ -234,6 +271,11 @@
         self.counts.get()
     }
 
+    /// Further classes of queries, behind those that are there.
+    pub fn extend(&self, classes: &[Class]) -> Result<(), SettingsError> {
+        self.state.borrow_mut().balancer.extend(classes)
+    }
+
     /// Replicas that the module remembers.
     pub fn known(&self) -> usize {
         self.state.borrow().balancer.known()
@@ -296,9 +338,10 @@
             done: send,
         };
         state.enter(id, &mut open, Step::First, &query.parts);
+        let carried = open.carried.clone();
         state.open.insert(id, open);
         self.wake.notify(1);
-        Some(Taken { core: Rc::downgrade(self), query: id, deadline: query.deadline, done })
+        Some(Taken { core: Rc::downgrade(self), query: id, deadline: query.deadline, carried, done })
     }
 
     fn withdraw(&self, id: QueryId) {
@@ -416,7 +459,8 @@
         self.count(|c| c.sends += 1);
         let deadline = timeout.map_or(open.deadline, |t| after(now, t).min(open.deadline));
         let (carried, step) = (open.carried.clone(), held.step.clone());
-        let call = Call { replica, carried, shard: held.shard, step, deadline };
+        let of = Some((self.clone(), part, attempt, now));
+        let call = Call { replica, carried, shard: held.shard, step, deadline, of };
         let (stop, stopped) = Stop::new();
         state.stops.insert((part, attempt), stop);
         let core = self.clone();
@@ -427,13 +471,29 @@
         self.executor.spawn(life).detach();
     }
 
+    fn commit(&self, id: PartId, attempt: u8, replica: ReplicaId, sent: Instant) -> bool {
+        let state = &mut *self.state.borrow_mut();
+        let Some(part) = state.parts.get_mut(&id).filter(|p| p.value.is_none()) else { return false };
+        if part.committed.is_some() {
+            return part.committed == Some(attempt);
+        }
+        part.committed = Some(attempt);
+        let others = (0..part.attempts).filter(|n| *n != attempt);
+        others.for_each(|n| drop(state.stops.remove(&(id, n))));
+        let took = sent.elapsed().as_secs_f64();
+        state.events.push(Event::Committed { part: id, attempt, replica, took });
+        self.wake.notify(1);
+        true
+    }
+
     fn ended(&self, id: PartId, attempt: u8, replica: ReplicaId, sent: Instant, ended: Ended) {
         let mut state = self.state.borrow_mut();
         state.stops.remove(&(id, attempt));
         let part = state.parts.get_mut(&id);
         let over = part.as_ref().is_none_or(|p| p.value.is_some()) || ended.served.is_some();
-        // The first value counts.
-        if let Some(part) = part.filter(|p| p.value.is_none()) {
+        // The first value counts; where one has begun to go out, that one alone.
+        let counts = |p: &&mut Part| p.value.is_none() && p.committed.is_none_or(|n| n == attempt);
+        if let Some(part) = part.filter(counts) {
             part.value = ended.served;
         }
         drop(state);
@@ -495,7 +555,10 @@
         for &(shard, weight) in parts {
             let part = PartId(self.id());
             open.parts.push(part);
-            self.parts.insert(part, Part { query, shard, step: step.clone(), value: None, attempts: 0 });
+            self.parts.insert(
+                part,
+                Part { query, shard, step: step.clone(), value: None, attempts: 0, committed: None },
+            );
             self.events.push(Event::Part { part, number: open.number, shard, weight });
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,7 +10,7 @@
 //!
 //! let class = Class {
 //!     aim: 0.5, deadline: 2.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe,
-//!     need: 1.0, floor: 1.0, partial: 1.0, second_step: 0,
+//!     need: 1.0, floor: 1.0, partial: 1.0, second_step: 0, copies: true,
 //! };
 //! let settings = Settings { classes: vec![class], cells: 1, reach: 1, ..Settings::default() };
 //! let mut balancer = Balancer::new(settings, 42)?;
@@ -95,6 +95,8 @@
     pub partial: f64,
     /// Parts of the second step; 0 for one step only.
     pub second_step: u32,
+    /// Whether a second attempt of a part may run beside another one.
+    pub copies: bool,
 }
 
 /// A tenant.
@@ -317,6 +319,14 @@
         took: f64,
         report: Option<Report>,
     },
+    /// Its value has begun to go to the client: its other attempts are called off, and there will be no more.
+    Committed {
+        part: PartId,
+        attempt: u8,
+        replica: ReplicaId,
+        /// Time to the first of the value.
+        took: f64,
+    },
     Probed {
         replica: ReplicaId,
         ok: bool,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,13 @@
 //!
 //! [`Balancer`] decides; [`interface`] holds the plain types that go in and come out.
 pub mod balance;
+pub mod cli;
 pub mod core;
 pub mod interface;
 pub mod net;
+pub mod operator;
+pub mod pool;
+pub mod routes;
 pub mod settings;
 mod state;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 mod config;
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,42 +10,38 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use clap::Parser;
 use futures_lite::StreamExt;
-use slog::{info, warn, Drain, Logger};
+use slog::{info, warn, Logger};
 
 use config::{Config, ConfigError};
+use marlgap::cli::{self, Cli, Command};
 use marlgap::core::{Core, Transport};
 use marlgap::interface::News;
 use marlgap::net::clients::{self, Acceptor, Closing};
 use marlgap::net::discovery::Discovery;
 use marlgap::net::front::Front;
 use marlgap::net::nodes::Nodes;
+use marlgap::net::{grpc, opensearch};
+use marlgap::operator::{Operator, OperatorError};
 
 /// After SIGTERM, new connections keep coming until the platform's front has noticed.
 const STILL_COMING: Duration = Duration::from_millis(550);
 /// Time between lines of counts.
 const COUNTS_EVERY: Duration = Duration::from_secs(10);
-/// Log lines that may wait for a slow reader; more are dropped and counted.
-const LOG_LINES: usize = 2048;
 /// Descriptors kept for the listeners, discovery, the log, files and the like.
 const RESERVED: usize = 32;
 
 fn main() -> ExitCode {
-    // The guard is leaked: guards against an exit that waits for whoever reads our log.
-    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
-    let lines = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
-    let lines = slog_async::Async::new(lines)
-        .chan_size(LOG_LINES)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build();
-    let level = match std::env::var("MARLGAP_LOG").as_deref() {
-        Ok("debug") => slog::Level::Debug,
-        _ => slog::Level::Info,
+    let cli = Cli::parse();
+    let ended = match &cli.command {
+        None => run(None, &cli),
+        Some(Command::Serve { config }) => run(Some(config), &cli),
+        Some(Command::Check { config }) => print(cli::check(config)),
+        Some(Command::Routes { config, call, metadata, message }) => {
+            print(cli::routes(config, call.as_deref(), metadata, message.as_deref()))
+        }
     };
-    let log = Logger::root(lines.filter_level(level).fuse(), slog::o!());
-    let executor = Rc::new(LocalExecutor::new());
-    let ended = config::read()
-        .and_then(|config| async_io::block_on(executor.run(serve(config, executor.clone(), log.clone()))));
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -54,10 +51,30 @@
     }
 }
 
-async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Result<(), ConfigError> {
+fn print(text: Result<String, OperatorError>) -> Result<(), ConfigError> {
+    text.map(|text| print!("{text}")).map_err(ConfigError::Operator)
+}
+
+fn run(operator: Option<&Path>, cli: &Cli) -> Result<(), ConfigError> {
+    let config = config::read(operator)?;
+    let log = cli::log::open(cli.log_format, cli.log_level);
+    let executor = Rc::new(LocalExecutor::new());
+    let path = operator.map(Path::to_owned);
+    async_io::block_on(executor.run(serve(config, path, executor.clone(), log)))
+}
+
+async fn serve(
+    config: Config,
+    file: Option<PathBuf>,
+    executor: Rc<LocalExecutor<'static>>,
+    log: Logger,
+) -> Result<(), ConfigError> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(ConfigError::Signals)?;
     let closing = Rc::new(Closing::default());
-    let fronts = usize::from(config.platform.is_some()) + usize::from(config.opensearch.is_some());
+    let (query_api, grpc) = config.operator.map_or((None, None), |o| (o.query_api, o.grpc));
+    let fronts = usize::from(config.platform.is_some())
+        + usize::from(query_api.is_some())
+        + usize::from(grpc.is_some());
     // A quarter for what is behind, where connections carry many parts each, the rest for clients, of each front.
     let all = config.sockets.saturating_sub(RESERVED).max(16) / fronts.max(1);
     let (descriptors, room) = (all / 4, all - all / 4);
@@ -93,11 +110,10 @@
         executor.spawn(count(core, "platform", log.clone())).detach();
     }
 
-    if let Some(setup) = config.opensearch {
+    if let Some(setup) = query_api {
         let address = setup.listen;
-        let front = setup
-            .start(config.seed, descriptors, &executor, &closing, &log)
-            .map_err(ConfigError::OpenSearch)?;
+        let front = opensearch::start(setup, config.seed, descriptors, &executor, &closing, &log)
+            .map_err(ConfigError::Start)?;
         let listener = listen(address)?;
         info!(log, "query API listening"; "address" => %listener.get_ref().local_addr().unwrap_or(address));
         executor.spawn(count(front.core.clone(), "query API", log.clone())).detach();
@@ -106,21 +122,46 @@
         accepted.push((acceptor, executor.spawn(accept)));
     }
 
+    let mut routed = None;
+    if let Some(setup) = grpc {
+        let address = setup.listen;
+        let front = grpc::start(setup, config.seed, descriptors, &executor, &closing, &log)
+            .map_err(ConfigError::Start)?;
+        routed = Some(front.clone());
+        let listener = listen(address)?;
+        info!(log, "gRPC listening"; "address" => %listener.get_ref().local_addr().unwrap_or(address));
+        executor.spawn(count(front.core.clone(), "gRPC", log.clone())).detach();
+        let acceptor = acceptor();
+        let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
+        accepted.push((acceptor, executor.spawn(accept)));
+    }
+
     let mut signal = signals.next().await;
-    // Guards against the signal's default, which ends the program: a new configuration moves the watch on
-    // discovery and nothing else; one that cannot be used moves nothing.
+    // Guards against the signal's default, which ends the program: a new configuration moves the watch on discovery,
+    // the operator's file replaces the routes; one that cannot be used changes nothing.
     while let Some(Ok(Signal::Hup)) = signal {
-        match config::discovery() {
-            Ok(address) => {
-                info!(log, "configuration reread"; "discovery" => %address);
-                let _ = moved.try_send(address);
+        if file.is_none() || std::env::var_os("RELAY_CONFIG").is_some() {
+            match config::discovery() {
+                Ok(address) => {
+                    info!(log, "configuration reread"; "discovery" => %address);
+                    let _ = moved.try_send(address);
+                }
+                Err(e) => warn!(log, "configuration not reread"; "error" => %e),
+            }
+        }
+        if let (Some(file), Some(front)) = (&file, &routed) {
+            let read = Operator::read(file).map_err(|e| e.to_string());
+            let rows = read.map(|o| o.grpc.map(|g| g.rows).unwrap_or_default());
+            match rows.and_then(|rows| front.reread(&rows).map(|()| rows.len()).map_err(|e| e.what)) {
+                Ok(rows) => info!(log, "routes reread"; "routes" => rows),
+                Err(e) => warn!(log, "routes not reread"; "error" => e),
             }
-            Err(e) => warn!(log, "configuration not reread"; "error" => %e),
         }
         signal = signals.next().await;
     }
     let told_at = Instant::now();
     closing.begun.set(true);
+    closing.wake.notify(usize::MAX);
     let held: usize = accepted.iter().map(|(a, _)| a.held()).sum();
     info!(log, "stopping"; "signal" => ?signal.and_then(Result::ok), "connections" => held);
     Timer::at(told_at + STILL_COMING).await;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -48,6 +48,16 @@
 }
 
 impl Closing {
+    /// Resolves once no new work is wanted.
+    pub async fn told(&self) {
+        while !self.begun.get() {
+            let listener = self.wake.listen();
+            if !self.begun.get() {
+                listener.await;
+            }
+        }
+    }
+
     async fn idle(&self) {
         while !self.idle.get() {
             let listener = self.wake.listen();
@@ -223,6 +233,29 @@
 }
 
 impl Client {
+    /// The bytes themselves, for a front that frames them by itself.
+    pub fn stream(&self) -> &Async<TcpStream> {
+        &self.stream
+    }
+
+    /// Since when it is there.
+    pub fn accepted(&self) -> Instant {
+        self.accepted
+    }
+
+    /// Whether it is being served, told by a front that reads by itself: one that is not may have to make way.
+    pub fn busy(&self, busy: bool) {
+        let doing = if busy { Doing::Working } else { Doing::Resting };
+        if self.seat.doing.get() != doing {
+            self.seat.set(doing);
+        }
+    }
+
+    /// Resolves when it has to make way for others.
+    pub async fn unwanted(&self) {
+        self.seat.closed().await;
+    }
+
     /// Read the next request, unless the connection ends, says nothing for long, or is closed between requests.
     pub async fn next(&mut self) -> Result<Message, HttpError> {
         let Client { stream, buffer, seat, closing, accepted, asked, .. } = self;
--- /dev/null
+++ b/src/net/grpc/front.rs
@@ -0,0 +1,694 @@
+//! The gRPC front: clients' connections and, on each, their calls. A call is one task from its headers to its one
+//! status, and only that task speaks to its client.
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use bytes::{Bytes, BytesMut};
+use event_listener::Event as Wake;
+use futures_lite::FutureExt;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream, SendStream};
+use http::{header, HeaderMap, HeaderValue, Method, Request, Response};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+use slog::{info, warn, Logger};
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use super::attempt::passed_on;
+use super::exchange::Exchange;
+use super::guard::Guard;
+use super::health;
+use super::io::{Alarm, Guarded};
+use super::replay::{Budget, Replay};
+use super::servers::Servers;
+use super::status::{self, Code, Status};
+use super::wire::{self, Framer, Malformed};
+use crate::core::{Core, Final, Query};
+use crate::net::clients::{Client, Closing};
+use crate::net::{by, Ration};
+use crate::operator::FrontLimits;
+use crate::routes::{self, Route, Routes};
+use crate::settings::Deployment;
+
+/// How long the end of a connection, or of a call, may take to leave.
+const LEAVE: Duration = Duration::from_secs(1);
+/// The module ends a query so long before its client's time: what ends then ends for that.
+const ENDING: Duration = Duration::from_millis(20);
+
+/// What SIGHUP replaces whole; a call keeps what it began with.
+pub struct Table {
+    pub routes: Routes,
+    /// The settings with the classes of these routes.
+    pub told: Deployment,
+}
+
+pub struct Front {
+    pub core: Rc<Core<Servers>>,
+    pub servers: Rc<Servers>,
+    pub table: ArcSwap<Table>,
+    pub limits: FrontLimits,
+    pub budget: Budget,
+    pub closing: Rc<Closing>,
+    /// Calls that are open, by the pattern of their route.
+    pub open: RefCell<BTreeMap<String, usize>>,
+    pub rng: RefCell<Pcg64Mcg>,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub log: Logger,
+    pub said: Said,
+}
+
+/// How many lines of each sort were logged lately.
+#[derive(Default)]
+pub struct Said {
+    bad: Ration,
+    flood: Ration,
+    refused: Ration,
+    unanswered: Ration,
+    gone: Ration,
+}
+
+/// Calls of one connection.
+#[derive(Default)]
+struct Calls {
+    open: Cell<usize>,
+    moved: Wake,
+}
+
+/// One of them, until it is dropped.
+struct Counted(Rc<Calls>);
+
+impl Counted {
+    fn new(calls: &Rc<Calls>) -> Counted {
+        calls.open.set(calls.open.get() + 1);
+        calls.moved.notify(usize::MAX);
+        Counted(calls.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.moved.notify(usize::MAX);
+    }
+}
+
+/// A call of a route that says how many may be open.
+struct OfRoute<'f>(&'f Front, &'f str);
+
+impl Drop for OfRoute<'_> {
+    fn drop(&mut self) {
+        if let Some(n) = self.0.open.borrow_mut().get_mut(self.1) {
+            *n -= 1;
+        }
+    }
+}
+
+impl Front {
+    /// The life of a client's connection: its calls are served side by side until it ends, is idle for long, floods
+    /// us, has to make way, or the program stops.
+    pub async fn serve(self: Rc<Self>, client: Client) {
+        let alarm = Rc::new(Alarm::default());
+        let limits = &self.limits;
+        let guarded = Guarded { stream: client.stream(), guard: Guard::new(limits), alarm: alarm.clone() };
+        let mut builder = h2::server::Builder::new();
+        builder
+            .max_concurrent_streams(limits.streams)
+            .max_header_list_size(limits.header_list)
+            .initial_window_size(limits.window)
+            .initial_connection_window_size(limits.connection_window)
+            .max_concurrent_reset_streams(limits.streams as usize)
+            .max_pending_accept_reset_streams(limits.streams as usize)
+            .max_send_buffer_size(limits.window as usize);
+        let latest = client.accepted() + span(limits.handshake_s);
+        let unwanted = async {
+            client.unwanted().await;
+            None
+        };
+        let shaken = async { Some(builder.handshake::<_, Bytes>(guarded.compat()).await) };
+        // Guards against connections that never say what they are.
+        let Some(Some(Ok(mut connection))) = by(latest, shaken.or(unwanted)).await else { return };
+        let calls = Rc::new(Calls::default());
+        let mut ending = false;
+        loop {
+            client.busy(calls.open.get() > 0);
+            enum Next {
+                Call(Box<(Request<RecvStream>, SendResponse<Bytes>)>),
+                Ended,
+                Flood,
+                Idle,
+                Moved,
+            }
+            let moved = calls.moved.listen();
+            let accept = async {
+                match poll_fn(|cx| connection.poll_accept(cx)).await {
+                    Some(Ok(call)) => Next::Call(Box::new(call)),
+                    _ => Next::Ended,
+                }
+            };
+            let flood = async {
+                alarm.raised().await;
+                Next::Flood
+            };
+            let moved = async {
+                moved.await;
+                Next::Moved
+            };
+            let (resting, idle) = (calls.open.get() == 0 && !ending, Instant::now() + span(limits.idle_s));
+            let idle = async {
+                let idle = async {
+                    match resting {
+                        true => drop(Timer::at(idle).await),
+                        false => std::future::pending().await,
+                    }
+                };
+                let stopping = async {
+                    match ending {
+                        false => self.closing.told().await,
+                        true => std::future::pending().await,
+                    }
+                };
+                idle.or(client.unwanted()).or(stopping).await;
+                Next::Idle
+            };
+            match flood.or(accept).or(idle).or(moved).await {
+                Next::Call(call) => {
+                    let (request, respond) = *call;
+                    let (front, counted) = (self.clone(), Counted::new(&calls));
+                    let life = async move {
+                        front.call(request, respond).await;
+                        drop(counted);
+                    };
+                    self.executor.spawn(life).detach();
+                }
+                Next::Flood => {
+                    if let Some(spared) = self.said.flood.line() {
+                        let kind = alarm.flood.get().map_or("", |f| f.name());
+                        warn!(self.log, "flood on a client's connection"; "frames" => kind, "spared" => spared);
+                    }
+                    connection.abrupt_shutdown(Reason::ENHANCE_YOUR_CALM);
+                    by(Instant::now() + LEAVE, poll_fn(|cx| connection.poll_closed(cx))).await;
+                    return;
+                }
+                Next::Idle => {
+                    ending = true;
+                    connection.graceful_shutdown();
+                    // A client that rests has nothing to be waited for but the end itself.
+                    if calls.open.get() == 0 {
+                        let closed = async {
+                            while poll_fn(|cx| connection.poll_accept(cx)).await.is_some_and(|c| c.is_ok()) {}
+                        };
+                        by(Instant::now() + LEAVE, closed).await;
+                        return;
+                    }
+                }
+                Next::Moved => {}
+                Next::Ended => return,
+            }
+        }
+    }
+
+    /// The life of one call, from its headers to its one status.
+    async fn call(&self, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+        let begun = Instant::now();
+        let (head, body) = request.into_parts();
+        let mut client = Caller { body, side: Side::Head(respond) };
+        let table = self.table.load_full();
+        if head.uri.path().starts_with(health::SERVICE) && self.sound(&head).is_ok() {
+            return self.health(head.uri.path(), client).await;
+        }
+        let result = match self.sound(&head).and_then(|timeout| {
+            let path = head.uri.path();
+            let unknown = || Status::new(Code::Unimplemented, format!("no route for {path}"));
+            Ok((timeout, table.routes.find(path).ok_or_else(unknown)?))
+        }) {
+            Err(status) => Err(status),
+            Ok((timeout, route)) => self.routed(&table, route, timeout, begun, &head, &mut client).await,
+        };
+        if let Err(status) = result {
+            if let Some(spared) = self.said.bad.line() {
+                warn!(self.log, "unusable call"; "path" => head.uri.path(), "status" => status.code.name(),
+                    "error" => &status.message, "spared" => spared);
+            }
+            client.end(wire::trailers(&status));
+        }
+    }
+
+    /// What every call must be; its time-out, if it has one.
+    fn sound(&self, head: &http::request::Parts) -> Result<Option<Duration>, Status> {
+        let bad = |what: &str| Err(Status::new(Code::InvalidArgument, what));
+        if head.method != Method::POST {
+            return bad("a call is a POST");
+        }
+        if !wire::is_grpc(&head.headers) {
+            return bad("content-type is not application/grpc");
+        }
+        let mut timeouts = head.headers.get_all(wire::GRPC_TIMEOUT).iter();
+        match (timeouts.next(), timeouts.next()) {
+            (None, _) => Ok(None),
+            (Some(value), None) => match wire::timeout(value.as_bytes()) {
+                Some(timeout) => Ok(Some(timeout)),
+                None => bad("grpc-timeout cannot be used"),
+            },
+            _ => bad("grpc-timeout is there twice"),
+        }
+    }
+
+    /// A call that has a route. `Err`: it goes no further, and nothing of it has.
+    async fn routed(
+        &self,
+        table: &Table,
+        route: &Arc<Route>,
+        timeout: Option<Duration>,
+        begun: Instant,
+        head: &http::request::Parts,
+        client: &mut Caller,
+    ) -> Result<(), Status> {
+        let class = table.told.settings.classes.get(usize::from(route.class.0));
+        let class = class.ok_or_else(|| Status::new(Code::Internal, "the route's class is not known"))?;
+        let longest = span(class.deadline);
+        let deadline = begun + timeout.unwrap_or(longest).min(longest);
+        let mut replay = Replay::new(self.limits.replay, self.budget.clone());
+        let mut framer = Framer::new(route.message, route.kind.streams_up());
+        // A request of one message is taken whole: any attempt can have all of it. Of a stream, no more than what
+        // the route must look into.
+        let whole = !route.kind.streams_up();
+        let first = match whole || route.looks_inside() {
+            false => BytesMut::new(),
+            true => {
+                let taken = client.take(&mut framer, whole);
+                let late = Status::new(Code::DeadlineExceeded, "the request did not come in in time");
+                by(deadline, taken).await.unwrap_or(Err(Some(late))).map_err(|s| s.unwrap_or_else(gone))?
+            }
+        };
+        let first = first.freeze();
+        if whole {
+            framer.end().map_err(malformed)?;
+            replay.push(first.clone());
+            replay.end();
+        } else {
+            replay.push(first.clone());
+        }
+        let shards = self.shards(route, &head.headers, &first)?;
+        let _open = self.room(table, route)?;
+        let merged = route.merge.is_some();
+        let mut metadata = passed_on(&head.headers);
+        if merged {
+            // Messages that are to be put together must come as they are.
+            metadata.remove("grpc-accept-encoding");
+        }
+        let weight = 1.0 / shards.len() as f64;
+        let (request, reply, last) = (RefCell::new(replay), Default::default(), Default::default());
+        let (request_moved, reply_moved) = Default::default();
+        let (path, route, effect) = (head.uri.path().to_owned(), route.clone(), class.effect);
+        let carried = Exchange {
+            path,
+            metadata,
+            route,
+            effect,
+            merged,
+            request,
+            request_moved,
+            reply,
+            reply_moved,
+            last,
+        };
+        let repeat = head.headers.contains_key("grpc-previous-rpc-attempts");
+        let (class, parts) = (carried.route.class, shards.iter().map(|s| (*s, weight)).collect());
+        let query = Query { class, deadline, repeat, parts, carried };
+        let Some(taken) = self.core.take(query) else {
+            if let Some(spared) = self.said.refused.line() {
+                info!(self.log, "refused"; "why" => "as much is open as may be", "path" => head.uri.path(),
+                    "open" => self.core.open(), "held" => self.core.held(), "spared" => spared);
+            }
+            let retry_after = table.told.settings.retry_after;
+            let status = Status::new(Code::ResourceExhausted, "as much is open as may be");
+            client.end(wire::trailers(&Status { retry_after, ..status }));
+            return Ok(());
+        };
+        let exchange = taken.carried();
+        let final_outcome = Cell::new(None);
+        let outcome = async {
+            final_outcome.set(Some(taken.outcome().await));
+            exchange.over();
+            std::future::pending().await
+        };
+        let ended = by(deadline, client.relay(&exchange, framer).or(outcome)).await;
+        if let Some(Err(Gone)) = ended {
+            // Dropping what was taken withdraws it.
+            if let Some(spared) = self.said.gone.line() {
+                info!(self.log, "client gone"; "path" => head.uri.path(),
+                    "after_ms" => begun.elapsed().as_millis() as u64, "spared" => spared);
+            }
+            return Ok(());
+        }
+        drop(taken);
+        let out_of_time = ended.is_none() || Instant::now() + ENDING >= deadline;
+        let outcome = final_outcome.take().unwrap_or(Final::Overdue);
+        let own = exchange.reply.borrow_mut().end.take().filter(|_| ended.is_some());
+        let trailers = match (own, &outcome) {
+            (Some(trailers), _) => trailers,
+            (None, Final::Answered { whole, values }) if exchange.merged => {
+                match client.merged(&shards, values, *whole, deadline).await {
+                    Some(trailers) => trailers,
+                    None => wire::trailers(&status::ended(&Final::Overdue, None, true, true)),
+                }
+            }
+            (None, outcome) => {
+                let begun_to_answer = matches!(client.side, Side::Body(_));
+                let last = exchange.last.borrow();
+                let status = status::ended(outcome, last.as_ref(), begun_to_answer, out_of_time);
+                if let Some(spared) = self.said.unanswered.line() {
+                    info!(self.log, "not answered"; "path" => head.uri.path(), "status" => status.code.name(),
+                        "outcome" => ?outcome, "after_ms" => begun.elapsed().as_millis() as u64, "spared" => spared);
+                }
+                wire::trailers(&status)
+            }
+        };
+        client.end(trailers);
+        Ok(())
+    }
+
+    fn shards(
+        &self,
+        route: &Route,
+        headers: &HeaderMap,
+        first: &[u8],
+    ) -> Result<Vec<crate::interface::ShardId>, Status> {
+        let refuse = |e: routes::NoShard| match e {
+            routes::NoShard::TooLarge => Status::new(Code::ResourceExhausted, e.to_string()),
+            routes::NoShard::Packed(_) => Status::new(Code::Unimplemented, e.to_string()),
+            e => Status::new(Code::InvalidArgument, e.to_string()),
+        };
+        let encoding = headers.get(wire::GRPC_ENCODING).and_then(|v| v.to_str().ok());
+        let inner = match wire::message(first).filter(|_| route.looks_inside()) {
+            None => None,
+            Some((packed, message)) => {
+                let unpacked = routes::first_message(message, packed, encoding, self.limits.unpacked);
+                Some(unpacked.map_err(refuse)?)
+            }
+        };
+        let metadata = |key: &str| {
+            let values = headers.get_all(key).iter();
+            // A value that is no text names no shard.
+            values.map(|v| v.to_str().unwrap_or("?")).collect::<Vec<_>>()
+        };
+        let random = self.rng.borrow_mut().next_u64();
+        route.shards(metadata, inner.as_deref(), random).map_err(refuse)
+    }
+
+    /// A place among the open calls of a route that bounds them.
+    fn room<'f>(&'f self, table: &Table, route: &'f Route) -> Result<Option<OfRoute<'f>>, Status> {
+        let Some(most) = route.open else { return Ok(None) };
+        let mut open = self.open.borrow_mut();
+        let held = open.entry(route.pattern.clone()).or_default();
+        if *held >= most {
+            let status =
+                Status::new(Code::ResourceExhausted, "as many calls of this method are open as may be");
+            return Err(Status { retry_after: table.told.settings.retry_after, ..status });
+        }
+        *held += 1;
+        Ok(Some(OfRoute(self, &route.pattern)))
+    }
+
+    /// grpc.health.v1.Health, of the front itself.
+    async fn health(&self, path: &str, mut client: Caller) {
+        let mut framer = Framer::new(1024, false);
+        let taken = by(Instant::now() + LEAVE, client.take(&mut framer, true)).await;
+        let Some(Ok(message)) = taken else {
+            return client
+                .end(wire::trailers(&Status::new(Code::InvalidArgument, "no request that can be read")));
+        };
+        let table = self.table.load_full();
+        let asked = match wire::message(&message).ok_or(()).and_then(|(_, m)| health::asked(m).map_err(drop))
+        {
+            Ok(service) => service,
+            Err(()) => {
+                let bad = Status::new(Code::InvalidArgument, "no health check request");
+                return client.end(wire::trailers(&bad));
+            }
+        };
+        let state = || health::state(&asked, &table.routes, self.core.ready(), self.closing.begun.get());
+        match path.strip_prefix(health::SERVICE) {
+            Some("Check") => match health::check(state()) {
+                Ok(message) => {
+                    let sent = client.open(grpc_head()).is_ok();
+                    if sent
+                        && by(Instant::now() + LEAVE, client.write(message)).await.is_some_and(|w| w.is_ok())
+                    {
+                        client.end(wire::trailers(&Status::new(Code::Ok, "")));
+                    }
+                }
+                Err(status) => client.end(wire::trailers(&status)),
+            },
+            Some("Watch") => {
+                if client.open(grpc_head()).is_err() {
+                    return;
+                }
+                let mut said = None;
+                loop {
+                    let now = state();
+                    if said != Some(now) {
+                        said = Some(now);
+                        if client.write(health::message(now)).await.is_err() {
+                            return;
+                        }
+                    }
+                    if self.closing.begun.get() {
+                        return client.end(wire::trailers(&Status::new(Code::Unavailable, "stopping")));
+                    }
+                    // Seldom enough to cost nothing, often enough for a balancer in front of us.
+                    let later = Instant::now() + Duration::from_millis(200);
+                    if by(later, client.gone()).await.is_some() {
+                        return;
+                    }
+                }
+            }
+            _ => client.end(wire::trailers(&Status::new(Code::Unimplemented, "no such method"))),
+        }
+    }
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::from_secs(86_400))
+}
+
+fn gone() -> Status {
+    Status::new(Code::Cancelled, "the client has gone")
+}
+
+fn malformed(e: Malformed) -> Status {
+    let code =
+        if matches!(e, Malformed::TooLong(_)) { Code::ResourceExhausted } else { Code::InvalidArgument };
+    Status::new(code, e.to_string())
+}
+
+fn grpc_head() -> HeaderMap {
+    HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/grpc"))])
+}
+
+/// The client has reset its call, or its connection is gone.
+struct Gone;
+
+enum Side {
+    Head(SendResponse<Bytes>),
+    Body(SendStream<Bytes>),
+    Done,
+}
+
+/// The client's side of a call.
+struct Caller {
+    body: RecvStream,
+    side: Side,
+}
+
+impl Caller {
+    /// Take the request's first message, or all of it. `Err(None)`: the client is gone.
+    async fn take(&mut self, framer: &mut Framer, whole: bool) -> Result<BytesMut, Option<Status>> {
+        let mut held = BytesMut::new();
+        while whole || framer.whole() == 0 {
+            match self.body.data().await {
+                Some(Ok(data)) => {
+                    drop(self.body.flow_control().release_capacity(data.len()));
+                    framer.follow(&data).map_err(|e| Some(malformed(e)))?;
+                    held.extend_from_slice(&data);
+                }
+                Some(Err(_)) => return Err(None),
+                None if whole => return Ok(held),
+                None => return Err(Some(malformed(Malformed::Empty))),
+            }
+        }
+        Ok(held)
+    }
+
+    /// Carry the answer to the client, and what it goes on to send to the attempts, until the query is over and all
+    /// of its answer has gone.
+    async fn relay(&mut self, exchange: &Exchange, framer: Framer) -> Result<(), Gone> {
+        let Caller { body, side } = self;
+        let down = async {
+            loop {
+                let moved = exchange.reply_moved.listen();
+                let (head, chunk, over) = {
+                    let mut reply = exchange.reply.borrow_mut();
+                    let opened = matches!(side, Side::Head(_)) && reply.head.is_some();
+                    (opened.then(|| reply.head.clone()).flatten(), reply.chunk.take(), reply.over)
+                };
+                if let Some(head) = head {
+                    open(side, head)?;
+                }
+                match chunk {
+                    Some(chunk) => {
+                        // Its place is free again: one more may be on its way while this one waits for its window.
+                        exchange.reply_moved.notify(usize::MAX);
+                        write(side, chunk).await?;
+                    }
+                    None if over => return Ok(()),
+                    None => {
+                        let moved = async {
+                            moved.await;
+                            Ok(())
+                        };
+                        let left = async {
+                            gone(side).await;
+                            Err(Gone)
+                        };
+                        moved.or(left).await?;
+                    }
+                }
+            }
+        };
+        let up = async {
+            if exchange.route.kind.streams_up() {
+                feed(body, exchange, framer).await?;
+            }
+            std::future::pending().await
+        };
+        return down.or(up).await;
+
+        async fn feed(body: &mut RecvStream, exchange: &Exchange, mut framer: Framer) -> Result<(), Gone> {
+            loop {
+                loop {
+                    let moved = exchange.request_moved.listen();
+                    if exchange.request.borrow().has_room() {
+                        break;
+                    }
+                    moved.await;
+                }
+                match body.data().await {
+                    Some(Ok(data)) => {
+                        let length = data.len();
+                        // What cannot be read goes no further; its call ends as if it had left.
+                        framer.follow(&data).map_err(|_| Gone)?;
+                        exchange.request.borrow_mut().push(data);
+                        drop(body.flow_control().release_capacity(length));
+                    }
+                    Some(Err(_)) => return Err(Gone),
+                    None => {
+                        exchange.request.borrow_mut().end();
+                        exchange.request_moved.notify(usize::MAX);
+                        return Ok(());
+                    }
+                }
+                exchange.request_moved.notify(usize::MAX);
+            }
+        }
+
+        async fn gone(side: &mut Side) {
+            poll_fn(|cx| poll_gone(side, cx)).await;
+        }
+    }
+
+    fn open(&mut self, head: HeaderMap) -> Result<(), Gone> {
+        open(&mut self.side, head)
+    }
+
+    async fn write(&mut self, chunk: Bytes) -> Result<(), Gone> {
+        write(&mut self.side, chunk).await
+    }
+
+    /// Resolves when the client resets the call or goes.
+    async fn gone(&mut self) {
+        poll_fn(|cx| poll_gone(&mut self.side, cx)).await;
+    }
+
+    /// The one message of several shards' answers, and its status, which says what it rests on. `None`: it could not
+    /// leave in time.
+    async fn merged(
+        &mut self,
+        shards: &[crate::interface::ShardId],
+        values: &[(crate::interface::ShardId, crate::core::Value)],
+        whole: bool,
+        deadline: Instant,
+    ) -> Option<HeaderMap> {
+        let mut order: Vec<_> = values.iter().collect();
+        order.sort_by_key(|(shard, _)| *shard);
+        let message = wire::concat(order.iter().map(|(_, value)| &value[..]))?;
+        self.open(grpc_head()).ok()?;
+        by(deadline, self.write(message)).await?.ok()?;
+        let mut trailers = wire::trailers(&Status::new(Code::Ok, ""));
+        let named: Vec<String> = order.iter().map(|(shard, _)| shard.0.to_string()).collect();
+        trailers.insert("marlgap-whole", HeaderValue::from_static(if whole { "1" } else { "0" }));
+        trailers.insert("marlgap-shards", HeaderValue::try_from(named.join(",")).ok()?);
+        trailers.insert("marlgap-shards-asked", HeaderValue::from(shards.len()));
+        Some(trailers)
+    }
+
+    /// The one status: in trailers where something went before them, else alone in the headers.
+    fn end(&mut self, trailers: HeaderMap) {
+        match std::mem::replace(&mut self.side, Side::Done) {
+            Side::Head(mut respond) => {
+                let mut response = Response::new(());
+                *response.headers_mut() = trailers;
+                let grpc = HeaderValue::from_static("application/grpc");
+                response.headers_mut().entry(header::CONTENT_TYPE).or_insert(grpc);
+                drop(respond.send_response(response, true));
+            }
+            Side::Body(mut stream) => drop(stream.send_trailers(trailers)),
+            Side::Done => {}
+        }
+    }
+}
+
+fn open(side: &mut Side, head: HeaderMap) -> Result<(), Gone> {
+    if let Side::Head(respond) = side {
+        let mut response = Response::new(());
+        *response.headers_mut() = head;
+        *side = Side::Body(respond.send_response(response, false).map_err(|_| Gone)?);
+    }
+    Ok(())
+}
+
+/// Write a chunk as the client's window allows.
+async fn write(side: &mut Side, mut chunk: Bytes) -> Result<(), Gone> {
+    let Side::Body(stream) = side else { return Err(Gone) };
+    while !chunk.is_empty() {
+        stream.reserve_capacity(chunk.len());
+        while stream.capacity() == 0 {
+            // Asked for both in one task: h2 keeps one waker for them.
+            poll_fn(|cx| match (stream.poll_reset(cx), stream.poll_capacity(cx)) {
+                (Poll::Ready(_), _) | (_, Poll::Ready(None | Some(Err(_)))) => Poll::Ready(Err(Gone)),
+                (_, Poll::Ready(Some(Ok(_)))) => Poll::Ready(Ok(())),
+                _ => Poll::Pending,
+            })
+            .await?;
+        }
+        let part = chunk.split_to(stream.capacity().min(chunk.len()));
+        stream.send_data(part, false).map_err(|_| Gone)?;
+    }
+    Ok(())
+}
+
+fn poll_gone(side: &mut Side, cx: &mut std::task::Context<'_>) -> Poll<()> {
+    match side {
+        Side::Head(respond) => respond.poll_reset(cx).map(drop),
+        Side::Body(stream) => stream.poll_reset(cx).map(drop),
+        Side::Done => Poll::Pending,
+    }
+}
--- /dev/null
+++ b/src/net/grpc/guard.rs
@@ -0,0 +1,97 @@
+//! Counts the frames that cost a server much and ask little of it, by their headers (RFC 9113 4.1, 10.5): floods of
+//! PING, SETTINGS, RST_STREAM, CONTINUATION and empty DATA. No I/O; the time is handed in.
+use std::time::{Duration, Instant};
+
+use crate::operator::FrontLimits;
+
+/// The client's preface (RFC 9113 3.4) comes before the first frame.
+const PREFACE: usize = 24;
+const HEADER: usize = 9;
+
+/// The kinds that are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flood {
+    EmptyData,
+    Reset,
+    Settings,
+    Ping,
+    Continuation,
+    Other,
+}
+
+impl Flood {
+    pub fn name(self) -> &'static str {
+        match self {
+            Flood::EmptyData => "empty DATA",
+            Flood::Reset => "RST_STREAM",
+            Flood::Settings => "SETTINGS",
+            Flood::Ping => "PING",
+            Flood::Continuation => "CONTINUATION",
+            Flood::Other => "WINDOW_UPDATE, PRIORITY and unknown",
+        }
+    }
+}
+
+/// Follows one connection's input.
+pub struct Guard {
+    most: [u32; 6],
+    count: [u32; 6],
+    second: Option<Instant>,
+    head: [u8; HEADER],
+    got: usize,
+    /// Bytes of a payload, or of the preface, that are still to come.
+    skip: usize,
+}
+
+impl Guard {
+    pub fn new(l: &FrontLimits) -> Guard {
+        let most = [l.empty_data, l.resets, l.settings, l.pings, l.continuations, l.others];
+        Guard { most, count: [0; 6], second: None, head: [0; HEADER], got: 0, skip: PREFACE }
+    }
+
+    /// Look at the next bytes; the kind of frame of which there are too many in this second, if there is one.
+    pub fn follow(&mut self, now: Instant, mut bytes: &[u8]) -> Result<(), Flood> {
+        if self.second.is_none_or(|s| now >= s + Duration::from_secs(1)) {
+            (self.second, self.count) = (Some(now), [0; 6]);
+        }
+        while !bytes.is_empty() {
+            if self.skip > 0 {
+                let n = self.skip.min(bytes.len());
+                self.skip -= n;
+                bytes = &bytes[n..];
+                continue;
+            }
+            let n = (HEADER - self.got).min(bytes.len());
+            self.head[self.got..self.got + n].copy_from_slice(&bytes[..n]);
+            self.got += n;
+            bytes = &bytes[n..];
+            if self.got == HEADER {
+                self.got = 0;
+                let [a, b, c, kind, flags, ..] = self.head;
+                self.skip = usize::from(a) << 16 | usize::from(b) << 8 | usize::from(c);
+                self.frame(kind, flags)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn frame(&mut self, kind: u8, flags: u8) -> Result<(), Flood> {
+        let flood = match kind {
+            // What ends a stream, or carries something, is work that was asked for.
+            0 if self.skip == 0 && flags & 1 == 0 => Flood::EmptyData,
+            0 | 1 => return Ok(()),
+            3 => Flood::Reset,
+            4 => Flood::Settings,
+            6 => Flood::Ping,
+            9 => Flood::Continuation,
+            _ => Flood::Other,
+        };
+        let count = &mut self.count[flood as usize];
+        *count += 1;
+        if *count > self.most[flood as usize] {
+            Err(flood)
+        } else {
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/src/net/grpc/mod.rs
@@ -0,0 +1,76 @@
+//! gRPC passed through (gRPC over HTTP/2): a front and its client side on the same core, module and rules. It
+//! listens where the operator's file says. `docs/grpc.md` is its page, `docs/design-grpc.md` its reasons.
+mod attempt;
+mod exchange;
+pub mod front;
+pub mod guard;
+mod health;
+mod io;
+pub mod replay;
+mod servers;
+pub mod status;
+pub mod wire;
+
+use std::rc::Rc;
+
+use arc_swap::ArcSwap;
+use async_executor::LocalExecutor;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use slog::Logger;
+
+use self::front::{Front, Table};
+use self::replay::Budget;
+use self::servers::Servers;
+use super::clients::Closing;
+use super::source::Watch;
+use super::StartError;
+use crate::core::Core;
+use crate::operator::Grpc;
+
+/// A core of its own for this front, on the same code and rules, and the front itself.
+pub fn start(
+    setup: Grpc,
+    seed: u64,
+    descriptors: usize,
+    executor: &Rc<LocalExecutor<'static>>,
+    closing: &Rc<Closing>,
+    log: &Logger,
+) -> Result<Rc<Front>, StartError> {
+    let Grpc { source, routes, front: limits, pool, told, .. } = setup;
+    let (executor_of, log_of) = (executor.clone(), log.clone());
+    let servers = Servers::new(told.sockets, pool, limits.clone(), descriptors, seed, executor_of, log_of);
+    let settings = told.settings.clone();
+    let core = Core::new(settings, seed, told.max_open, executor.clone(), servers.clone())
+        .map_err(StartError::Settings)?;
+    let (core_of, servers_of, zones) = (core.clone(), servers.clone(), told.zones.clone());
+    let watch = Watch::begin(core_of, servers_of, zones, source, "gRPC", log.clone());
+    executor.spawn(core.clone().run()).detach();
+    executor.spawn(servers.clone().keep()).detach();
+    executor.spawn(watch.map_err(StartError::Source)?.run()).detach();
+    let table = ArcSwap::from_pointee(Table { routes, told: (*told).clone() });
+    let (budget, rng) = (Budget::new(limits.replay_all), Pcg64Mcg::seed_from_u64(!seed).into());
+    let (executor, closing, log) = (executor.clone(), closing.clone(), log.clone());
+    let (open, said) = Default::default();
+    Ok(Rc::new(Front { core, servers, table, limits, budget, closing, open, rng, executor, log, said }))
+}
+
+impl Front {
+    /// Take over the routes of a file that was read again, whole; calls under way keep theirs. What else the file
+    /// says holds from the next start on.
+    pub fn reread(&self, rows: &[crate::routes::Row]) -> Result<(), crate::routes::RowError> {
+        let old = self.table.load_full();
+        let mut told = old.told.clone();
+        let known = told.settings.classes.len();
+        let shards = told.shards.unwrap_or(1);
+        let routes = crate::routes::Routes::compile(rows, &mut told, shards, self.limits.message)?;
+        let unfit = |e: crate::interface::SettingsError| crate::routes::RowError {
+            row: 0,
+            key: None,
+            what: e.to_string(),
+        };
+        self.core.extend(&told.settings.classes[known..]).map_err(unfit)?;
+        self.table.store(std::sync::Arc::new(Table { routes, told }));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/grpc/servers.rs
@@ -0,0 +1,372 @@
+//! The client side of the gRPC servers: HTTP/2 connections that carry many calls each. Which one a call takes, and
+//! what becomes of a connection, `pool` decides; here it is carried out.
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use bytes::Bytes;
+use event_listener::Event as Wake;
+use futures_lite::FutureExt;
+use h2::client::SendRequest;
+use h2::{Ping, PingPong};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slog::{debug, info, Logger};
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use super::exchange::Exchange;
+use crate::core::{Call, Clock, Ended, Stop, Transport};
+use crate::interface::*;
+use crate::net::records::Server;
+use crate::net::source::{Book, Change, Follows};
+use crate::net::{by, Ration};
+use crate::operator::FrontLimits;
+use crate::pool::{Assign, ConnectionId, Do, Limits, Pool, Why};
+use crate::settings::Sockets;
+
+/// Time between looks at what is due for connections: a fifth of the least limit that goes by it.
+const LOOK: Duration = Duration::from_millis(20);
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+
+/// A connection that is up, or coming up.
+pub(super) struct Link {
+    pub(super) send: RefCell<Option<SendRequest<Bytes>>>,
+    ask: Cell<bool>,
+    /// Why we closed it, if we did.
+    pub(super) closed: Cell<Option<Why>>,
+    wake: Wake,
+}
+
+impl Link {
+    async fn until<T>(&self, ready: impl Fn() -> Option<T>) -> T {
+        loop {
+            let listener = self.wake.listen();
+            if let Some(value) = ready() {
+                return value;
+            }
+            listener.await;
+        }
+    }
+}
+
+pub struct Servers {
+    book: RefCell<Book>,
+    pub(super) pool: RefCell<Pool>,
+    links: RefCell<BTreeMap<ConnectionId, Rc<Link>>>,
+    /// Calls that wait for a place, by server.
+    waiting: RefCell<BTreeMap<ReplicaId, usize>>,
+    changed: Wake,
+    sockets: Sockets,
+    pub(super) limits: FrontLimits,
+    /// Descriptors that connections may take.
+    room: usize,
+    rng: RefCell<Pcg64Mcg>,
+    executor: Rc<LocalExecutor<'static>>,
+    log: Logger,
+    said: Ration,
+}
+
+impl Follows for Servers {
+    fn list(&self, servers: &[Server], zones: &[String], clock: &Clock) -> Vec<Listed> {
+        let now = Instant::now();
+        let (listed, changes) = self.book.borrow_mut().list(servers, zones, clock);
+        for (replica, change) in changes {
+            let mut pool = self.pool.borrow_mut();
+            let (acts, phase) = match change {
+                Change::Listed(phase) => (Vec::new(), phase),
+                Change::Moved(phase) => (pool.moved(replica), phase),
+                Change::Gone => (Vec::new(), Phase::Gone),
+            };
+            pool.phase(now, replica, phase);
+            pool.remove(replica);
+            drop(pool);
+            acts.into_iter().for_each(|act| self.act(act));
+        }
+        self.changed.notify(usize::MAX);
+        listed
+    }
+}
+
+impl Servers {
+    pub fn new(
+        sockets: Sockets,
+        pool: Limits,
+        limits: FrontLimits,
+        room: usize,
+        seed: u64,
+        executor: Rc<LocalExecutor<'static>>,
+        log: Logger,
+    ) -> Rc<Self> {
+        let pool = RefCell::new(Pool::new(pool));
+        let rng = RefCell::new(Pcg64Mcg::seed_from_u64(seed));
+        let (book, links, waiting, changed, said) = Default::default();
+        Rc::new(Servers {
+            book,
+            pool,
+            links,
+            waiting,
+            changed,
+            sockets,
+            limits,
+            room,
+            rng,
+            executor,
+            log,
+            said,
+        })
+    }
+
+    /// Connections to servers, those coming up included.
+    pub fn connections(&self) -> usize {
+        self.pool.borrow().connections()
+    }
+
+    /// Carry out what is due for connections, for as long as the program runs.
+    pub async fn keep(self: Rc<Self>) {
+        loop {
+            while self.links.borrow().is_empty() {
+                let listener = self.changed.listen();
+                if self.links.borrow().is_empty() {
+                    listener.await;
+                }
+            }
+            Timer::at(Instant::now() + LOOK).await;
+            let acts = self.pool.borrow_mut().tick(Instant::now());
+            acts.into_iter().for_each(|act| self.act(act));
+        }
+    }
+
+    fn act(&self, act: Do) {
+        let (Do::Ping(id) | Do::Close(id, _)) = act;
+        let Some(link) = self.links.borrow().get(&id).cloned() else { return };
+        match act {
+            Do::Ping(_) => link.ask.set(true),
+            Do::Close(_, why) => {
+                if let Some(spared) = matches!(why, Why::Silent).then(|| self.said.line()).flatten() {
+                    info!(self.log, "connection to a server given up"; "why" => "no answer to a PING",
+                        "connection" => id.0, "spared" => spared);
+                }
+                link.closed.set(Some(why));
+            }
+        }
+        link.wake.notify(usize::MAX);
+    }
+
+    pub(super) fn ready(&self, replica: ReplicaId) -> Option<(SocketAddr, u64)> {
+        self.book.borrow().ready(replica)
+    }
+
+    pub(super) fn name(&self, replica: ReplicaId) -> String {
+        self.book.borrow().get(replica).map(|m| m.server.name.clone()).unwrap_or_default()
+    }
+
+    /// A place for a call at a server: waits until a connection has one, or says why none will.
+    pub(super) async fn place(self: &Rc<Self>, replica: ReplicaId) -> Result<Place, Outcome> {
+        let waiting = Waiting { servers: self.clone(), replica, counted: Cell::new(false) };
+        loop {
+            let Some((address, _)) = self.ready(replica) else { return Err(Outcome::NotSent) };
+            let listener = self.changed.listen();
+            let ahead = waiting.ahead();
+            let now = Instant::now();
+            let full = self.connections() >= self.room;
+            let assigned = self.pool.borrow_mut().assign(now, replica, ahead);
+            match assigned {
+                Assign::Take(id) => {
+                    let Some(link) = self.links.borrow().get(&id).cloned() else {
+                        self.pool.borrow_mut().ended(id);
+                        continue;
+                    };
+                    let mut place = Place { servers: self.clone(), id, link, send: None };
+                    let send = place.link.send.borrow().clone();
+                    // What its server allows may have changed since; what it has closed says so here.
+                    let ready = match send {
+                        Some(send) => send.ready().await.ok(),
+                        None => None,
+                    };
+                    let Some(send) = ready else {
+                        self.pool.borrow_mut().drain(Instant::now(), id);
+                        continue;
+                    };
+                    self.pool.borrow_mut().allowed(id, send.current_max_send_streams());
+                    place.send = Some(send);
+                    return Ok(place);
+                }
+                Assign::Open(id) if full => {
+                    self.pool.borrow_mut().ended(id);
+                    return Err(Outcome::NotSent);
+                }
+                Assign::Open(id) => self.open(id, address),
+                Assign::Wait => {}
+                Assign::NotReady => return Err(Outcome::NotSent),
+                Assign::Resting(_) => return Err(Outcome::NoConnection),
+                Assign::Full => return Err(Outcome::TurnedAway),
+            }
+            waiting.count();
+            listener.await;
+        }
+    }
+
+    fn open(self: &Rc<Self>, id: ConnectionId, address: SocketAddr) {
+        let (send, ask, closed, wake) = Default::default();
+        let link = Rc::new(Link { send, ask, closed, wake });
+        self.links.borrow_mut().insert(id, link.clone());
+        self.executor.spawn(self.clone().serve(id, link, address)).detach();
+    }
+
+    /// The life of one connection: come up in time, with its server's settings in, then carry calls.
+    async fn serve(self: Rc<Self>, id: ConnectionId, link: Rc<Link>, address: SocketAddr) {
+        let latest = Instant::now() + self.sockets.connect;
+        let closed = async {
+            link.until(|| link.closed.get()).await;
+            None
+        };
+        let up = async { self.come_up(id, &link, address).await };
+        let up = by(latest, up.or(closed)).await.flatten();
+        self.changed.notify(usize::MAX);
+        match up {
+            None => {
+                debug!(self.log, "no connection"; "address" => %address);
+                let chance = f64::from(self.rng.borrow_mut().next_u32()) / f64::from(u32::MAX);
+                self.pool.borrow_mut().failed(Instant::now(), id, chance);
+            }
+            Some((connection, mut pings)) => {
+                debug!(self.log, "connection up"; "address" => %address);
+                let asked = async {
+                    loop {
+                        link.until(|| link.ask.take().then_some(())).await;
+                        if pings.ping(Ping::opaque()).await.is_err() {
+                            return std::future::pending::<()>().await;
+                        }
+                        self.pool.borrow_mut().heard(Instant::now(), id);
+                    }
+                };
+                let closed = async {
+                    link.until(|| link.closed.get()).await;
+                };
+                let carried = async { drop(connection.await) };
+                carried.or(closed).or(asked).await;
+                self.pool.borrow_mut().ended(id);
+            }
+        }
+        link.send.take();
+        self.links.borrow_mut().remove(&id);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Connect, and wait for the answer to a PING: its server's settings come before that (RFC 9113 3.4), and
+    /// without them we would not know how many calls it takes.
+    async fn come_up(
+        &self,
+        id: ConnectionId,
+        link: &Link,
+        address: SocketAddr,
+    ) -> Option<(Carrier, PingPong)> {
+        let stream = Async::<TcpStream>::connect(address).await.ok()?;
+        drop(stream.get_ref().set_nodelay(true));
+        let limits = &self.limits;
+        let (send, mut connection) = h2::client::Builder::new()
+            .enable_push(false)
+            .initial_window_size(limits.window)
+            .initial_connection_window_size(limits.connection_window)
+            .max_header_list_size(limits.header_list)
+            .max_concurrent_reset_streams(MOST_RESET)
+            .handshake::<_, Bytes>(stream.compat())
+            .await
+            .ok()?;
+        let mut pings = connection.ping_pong()?;
+        let ponged = async { pings.ping(Ping::opaque()).await.ok() };
+        let broke = async {
+            drop((&mut connection).await);
+            None
+        };
+        ponged.or(broke).await?;
+        let allowed = send.current_max_send_streams();
+        *link.send.borrow_mut() = Some(send);
+        self.pool.borrow_mut().up(Instant::now(), id, allowed);
+        Some((connection, pings))
+    }
+}
+
+/// Streams that we reset and still know, so that what comes late for them is dropped and not held against the
+/// connection.
+const MOST_RESET: usize = 256;
+
+type Carrier = h2::client::Connection<tokio_util::compat::Compat<Async<TcpStream>>, Bytes>;
+
+/// A call that waits for a place, counted from its first wait on.
+struct Waiting {
+    servers: Rc<Servers>,
+    replica: ReplicaId,
+    counted: Cell<bool>,
+}
+
+impl Waiting {
+    /// How many wait beside this one.
+    fn ahead(&self) -> usize {
+        let all = self.servers.waiting.borrow().get(&self.replica).copied().unwrap_or(0);
+        all - usize::from(self.counted.get()).min(all)
+    }
+
+    fn count(&self) {
+        if !self.counted.replace(true) {
+            *self.servers.waiting.borrow_mut().entry(self.replica).or_default() += 1;
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.counted.get() {
+            let mut waiting = self.servers.waiting.borrow_mut();
+            if let Some(n) = waiting.get_mut(&self.replica) {
+                *n -= 1;
+            }
+            waiting.retain(|_, n| *n > 0);
+        }
+    }
+}
+
+/// A call's place on a connection, until it is dropped.
+pub(super) struct Place {
+    servers: Rc<Servers>,
+    pub(super) id: ConnectionId,
+    pub(super) link: Rc<Link>,
+    pub(super) send: Option<SendRequest<Bytes>>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.servers.pool.borrow_mut().release(Instant::now(), self.id);
+        if !self.servers.waiting.borrow().is_empty() {
+            self.servers.changed.notify(usize::MAX);
+        }
+    }
+}
+
+impl Transport for Servers {
+    type Carried = Exchange;
+
+    /// The life of one attempt; dropping it resets its stream with CANCEL.
+    async fn call(self: Rc<Self>, call: Call<Self>, stop: Stop) -> Ended {
+        let stopped = async {
+            stop.wait().await;
+            Outcome::Cancelled.into()
+        };
+        let ended = by(call.deadline, self.attempt(&call, &stop).or(stopped)).await;
+        ended.unwrap_or(Outcome::TimedOut.into())
+    }
+
+    /// A server answers when a connection to it is up.
+    async fn probe(self: Rc<Self>, replica: ReplicaId) -> (bool, Option<Report>) {
+        let latest = Instant::now() + PROBE_WAIT;
+        (by(latest, self.place(replica)).await.is_some_and(|place| place.is_ok()), None)
+    }
+
+    fn close_idle(&self, _: ReplicaId) {
+        // A connection that has lost its server is found by its PING, not by being renewed.
+    }
+}
--- /dev/null
+++ b/src/net/grpc/wire.rs
@@ -0,0 +1,251 @@
+//! What gRPC puts on HTTP/2 (gRPC over HTTP/2): message frames, time-outs, statuses. No I/O.
+use std::fmt;
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use base64::Engine;
+use bytes::{Buf, Bytes, BytesMut};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use percent_encoding::{percent_decode, percent_encode, AsciiSet, CONTROLS};
+use prost::Message as _;
+
+use super::status::{Code, Status};
+
+/// Bytes before a message: its compressed flag and its length.
+pub const PREFIX: usize = 5;
+
+/// What is wrong with a stream of messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Malformed {
+    /// A compressed flag that is neither 0 nor 1.
+    Flag(u8),
+    /// A message longer than is allowed.
+    TooLong(usize),
+    /// More messages than the call's kind has.
+    Several,
+    /// The stream ends inside a message.
+    Cut,
+    /// The stream ends without the message that the call's kind has.
+    Empty,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Malformed::Flag(b) => write!(f, "a compressed flag of {b}"),
+            Malformed::TooLong(n) => write!(f, "a message of {n} bytes, which is more than is allowed"),
+            Malformed::Several => f.write_str("more than one message in a call that has one"),
+            Malformed::Cut => f.write_str("a stream that ends inside a message"),
+            Malformed::Empty => f.write_str("a stream without its one message"),
+        }
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// Follows the messages of a stream without holding them: only their prefixes are looked at.
+#[derive(Debug)]
+pub struct Framer {
+    most: usize,
+    /// Whether there may be several messages.
+    several: bool,
+    prefix: [u8; PREFIX],
+    got: usize,
+    left: usize,
+    whole: usize,
+}
+
+impl Framer {
+    /// `most`: the longest message, in bytes without its prefix.
+    pub fn new(most: usize, several: bool) -> Framer {
+        Framer { most, several, prefix: [0; PREFIX], got: 0, left: 0, whole: 0 }
+    }
+
+    /// Messages that are in whole.
+    pub fn whole(&self) -> usize {
+        self.whole
+    }
+
+    /// Look at the next bytes of the stream.
+    pub fn follow(&mut self, mut bytes: &[u8]) -> Result<(), Malformed> {
+        while !bytes.is_empty() {
+            if self.left > 0 {
+                let n = self.left.min(bytes.len());
+                self.left -= n;
+                bytes = &bytes[n..];
+                if self.left == 0 {
+                    (self.got, self.whole) = (0, self.whole + 1);
+                }
+                continue;
+            }
+            if self.whole > 0 && !self.several {
+                return Err(Malformed::Several);
+            }
+            self.prefix[self.got] = bytes[0];
+            self.got += 1;
+            bytes = &bytes[1..];
+            if self.prefix[0] > 1 {
+                return Err(Malformed::Flag(self.prefix[0]));
+            }
+            if self.got == PREFIX {
+                let [_, length @ ..] = self.prefix;
+                self.left = u32::from_be_bytes(length) as usize;
+                if self.left > self.most {
+                    return Err(Malformed::TooLong(self.left));
+                }
+                if self.left == 0 {
+                    (self.got, self.whole) = (0, self.whole + 1);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The stream ended well: behind a message, and with one where the kind has one.
+    pub fn end(&self) -> Result<(), Malformed> {
+        match self {
+            f if f.left > 0 || f.got > 0 => Err(Malformed::Cut),
+            f if !f.several && f.whole == 0 => Err(Malformed::Empty),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// The first message of `bytes`, its compressed flag before it; `None` if it is not in whole.
+pub fn message(bytes: &[u8]) -> Option<(bool, &[u8])> {
+    let (prefix, rest) = bytes.split_first_chunk::<PREFIX>()?;
+    let [flag, length @ ..] = *prefix;
+    Some((flag == 1, rest.get(..u32::from_be_bytes(length) as usize)?))
+}
+
+/// Several messages' bodies as one message: repeated fields are concatenated.
+pub fn concat<'b>(bodies: impl Iterator<Item = &'b [u8]> + Clone) -> Option<Bytes> {
+    let length: usize = bodies.clone().map(<[u8]>::len).sum();
+    let mut out = BytesMut::with_capacity(PREFIX + length);
+    out.extend_from_slice(&[0]);
+    out.extend_from_slice(&u32::try_from(length).ok()?.to_be_bytes());
+    bodies.for_each(|b| out.extend_from_slice(b));
+    Some(out.freeze())
+}
+
+/// A `grpc-timeout`: at most eight digits and a unit.
+pub fn timeout(value: &[u8]) -> Option<Duration> {
+    let (unit, digits) = value.split_last()?;
+    if !(1..=8).contains(&digits.len()) || !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    let n = digits.iter().fold(0u64, |n, b| n * 10 + u64::from(b - b'0'));
+    match unit {
+        b'H' => Some(Duration::from_secs(n * 3600)),
+        b'M' => Some(Duration::from_secs(n * 60)),
+        b'S' => Some(Duration::from_secs(n)),
+        b'm' => Some(Duration::from_millis(n)),
+        b'u' => Some(Duration::from_micros(n)),
+        b'n' => Some(Duration::from_nanos(n)),
+        _ => None,
+    }
+}
+
+/// The shortest `grpc-timeout` that holds `left`, never more than it by a thousandth; at least 1 ns.
+pub fn write_timeout(left: Duration) -> String {
+    const MOST: u128 = 99_999_999;
+    let units = [("n", 1), ("u", 1_000), ("m", 1_000_000), ("S", 1_000_000_000), ("M", 60_000_000_000)];
+    let nanos = left.as_nanos().max(1);
+    match units.iter().find(|(_, size)| nanos / size <= MOST) {
+        Some((unit, size)) => format!("{}{unit}", nanos / size),
+        None => format!("{}H", (nanos / 3_600_000_000_000).min(MOST)),
+    }
+}
+
+/// What `grpc-message` leaves as it is: printable ASCII but `%`.
+const MESSAGE: &AsciiSet = &CONTROLS.add(b'%');
+/// The longest `grpc-message` of ours, encoded: well inside a client's header list.
+const MOST_MESSAGE: usize = 1024;
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct RetryInfo {
+    #[prost(message, optional, tag = "1")]
+    retry_delay: Option<prost_types::Duration>,
+}
+
+/// google.rpc.Status.
+#[derive(Clone, PartialEq, prost::Message)]
+struct RpcStatus {
+    #[prost(int32, tag = "1")]
+    code: i32,
+    #[prost(string, tag = "2")]
+    message: String,
+    #[prost(message, repeated, tag = "3")]
+    details: Vec<prost_types::Any>,
+}
+
+pub const GRPC_STATUS: HeaderName = HeaderName::from_static("grpc-status");
+pub const GRPC_MESSAGE: HeaderName = HeaderName::from_static("grpc-message");
+pub const GRPC_TIMEOUT: HeaderName = HeaderName::from_static("grpc-timeout");
+pub const GRPC_ENCODING: HeaderName = HeaderName::from_static("grpc-encoding");
+const DETAILS: HeaderName = HeaderName::from_static("grpc-status-details-bin");
+const PUSHBACK: HeaderName = HeaderName::from_static("grpc-retry-pushback-ms");
+
+/// The trailers of a status made here. One that says when to come back does so twice: for clients that retry by
+/// themselves (`grpc-retry-pushback-ms`, gRFC A6) and in `RetryInfo` (google/rpc/error_details.proto).
+pub fn trailers(status: &Status) -> HeaderMap {
+    let mut out = HeaderMap::new();
+    out.insert(GRPC_STATUS, HeaderValue::from(status.code as u16));
+    let mut said: String = percent_encode(status.message.as_bytes(), MESSAGE).to_string();
+    said.truncate(MOST_MESSAGE);
+    if let Ok(said) = HeaderValue::try_from(said) {
+        out.insert(GRPC_MESSAGE, said);
+    }
+    if let Some(after) = status.retry_after.filter(|s| s.is_finite() && *s >= 0.0) {
+        out.insert(PUSHBACK, HeaderValue::from((after * 1000.0).min(i32::MAX.into()) as i32));
+        let nanos = ((after.fract()) * 1e9) as i32;
+        let delay = prost_types::Duration { seconds: after as i64, nanos };
+        let info = RetryInfo { retry_delay: Some(delay) }.encode_to_vec();
+        let any =
+            prost_types::Any { type_url: "type.googleapis.com/google.rpc.RetryInfo".into(), value: info };
+        let (code, message) = (status.code as i32, status.message.clone());
+        let details = RpcStatus { code, message, details: vec![any] }.encode_to_vec();
+        if let Ok(details) = HeaderValue::try_from(STANDARD_NO_PAD.encode(details)) {
+            out.insert(DETAILS, details);
+        }
+    }
+    out
+}
+
+/// The status that a server's trailers, or headers without a body, tell; `None` where they tell none.
+pub fn told(headers: &HeaderMap) -> Option<Status> {
+    let mut statuses = headers.get_all(GRPC_STATUS).iter();
+    let (Some(value), None) = (statuses.next(), statuses.next()) else { return None };
+    let code = Code::parse(value.as_bytes())?;
+    let message = headers.get(GRPC_MESSAGE).map_or(&b""[..], |m| m.as_bytes());
+    Some(Status::new(code, percent_decode(message).decode_utf8_lossy()))
+}
+
+/// Whether a content type is gRPC's: `application/grpc`, alone or with `+` or `;` behind it.
+pub fn is_grpc(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(http::header::CONTENT_TYPE) else { return false };
+    let rest = value.as_bytes().strip_prefix(b"application/grpc");
+    rest.is_some_and(|rest| matches!(rest.first(), None | Some(b'+' | b';')))
+}
+
+/// Headers that belong to one hop, or that each attempt writes anew.
+pub fn of_the_hop(name: &HeaderName) -> bool {
+    matches!(
+        name.as_str(),
+        "connection"
+            | "keep-alive"
+            | "proxy-connection"
+            | "transfer-encoding"
+            | "upgrade"
+            | "te"
+            | "host"
+            | "grpc-timeout"
+            | "content-length"
+    )
+}
+
+/// Bytes that are left of `bytes` behind `n`.
+pub fn behind(mut bytes: Bytes, n: usize) -> Bytes {
+    bytes.advance(n.min(bytes.len()));
+    bytes
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,9 +4,12 @@
 pub mod discovery;
 pub mod frames;
 pub mod front;
+pub mod grpc;
 pub mod http;
 pub mod nodes;
 pub mod opensearch;
+pub mod records;
+pub mod source;
 
 use std::cell::Cell;
 use std::future::Future;
@@ -15,6 +18,26 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 
+use crate::interface::SettingsError;
+
+/// Why a front could not be started.
+#[derive(Debug)]
+pub enum StartError {
+    Settings(SettingsError),
+    Source(source::SourceError),
+}
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StartError::Settings(e) => write!(f, "{e}"),
+            StartError::Source(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
 /// What `work` gives, or `None` if `deadline` comes first.
 pub async fn by<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
     let work = async { Some(work.await) };
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -593,7 +593,7 @@
     type Carried = Carried;
 
     /// The life of one attempt: a place on a connection, the write, and the one thing that ends it.
-    async fn call(self: Rc<Self>, call: Call<Carried>, stop: Stop) -> Ended {
+    async fn call(self: Rc<Self>, call: Call<Self>, stop: Stop) -> Ended {
         let Some((connection, life)) = self.connection(call.replica) else {
             return Outcome::NotSent.into();
         };
--- a/src/net/opensearch/front.rs
+++ b/src/net/opensearch/front.rs
@@ -25,7 +25,8 @@
     pub core: Rc<Core<Servers>>,
     pub told: Rc<Deployment>,
     /// The index of each class, in the order of the classes.
-    pub indices: Vec<String>,
+    /// The index of each class, where it has one.
+    pub indices: Vec<Option<String>>,
     pub shards: u32,
     pub closing: Rc<Closing>,
     pub log: Logger,
@@ -124,7 +125,7 @@
             let reason = format!("several indices in one search are not supported: [{index}]");
             return Err(refuse(BadQuery { kind: "illegal_argument_exception", reason }));
         }
-        let Some(class) = self.indices.iter().position(|i| i == index) else {
+        let Some(class) = self.indices.iter().position(|i| i.as_deref() == Some(index)) else {
             return Err(error(404, "index_not_found_exception", &format!("no such index [{index}]")));
         };
         let search = Rc::new(query::parse(index, parameters, &message.body(buffer)).map_err(refuse)?);
--- a/src/net/opensearch/servers.rs
+++ b/src/net/opensearch/servers.rs
@@ -13,12 +13,13 @@
 
 use super::merge::{self, Failure};
 use super::query::Search;
-use super::records::Server;
 use crate::core::{Call, Clock, Ended, Step, Stop, Transport};
 use crate::interface::*;
 use crate::net::buffer::Buffer;
 use crate::net::by;
 use crate::net::http::{self, HttpError, Kind, Message};
+use crate::net::records::Server;
+use crate::net::source::{Book, Change, Follows};
 use crate::settings::Sockets;
 
 const PROBE_WAIT: Duration = Duration::from_millis(250);
@@ -44,63 +45,38 @@
     pub notes: Rc<RefCell<Notes>>,
 }
 
-struct Known {
-    server: Server,
-    life: u64,
-    idle: Vec<(Async<TcpStream>, Instant)>,
-}
+/// Connections that carry nothing, and since when.
+type Idle = Vec<(Async<TcpStream>, Instant)>;
 
 pub struct Servers {
-    known: RefCell<BTreeMap<ReplicaId, Known>>,
-    names: RefCell<BTreeMap<String, ReplicaId>>,
+    book: RefCell<Book>,
+    idle: RefCell<BTreeMap<ReplicaId, Idle>>,
     sockets: Sockets,
     room: Cell<usize>,
     log: Logger,
 }
 
-impl Servers {
-    pub fn new(sockets: Sockets, room: usize, log: Logger) -> Rc<Self> {
-        let (known, names) = Default::default();
-        Rc::new(Servers { known, names, sockets, room: Cell::new(room), log })
-    }
-
-    /// Take over the whole list that the records make. One that is on it no more is gone: a drain.
-    pub fn list(&self, servers: &[Server], zones: &[String], clock: &Clock) -> Vec<Listed> {
-        let mut known = self.known.borrow_mut();
-        for old in known.values_mut() {
-            if !servers.iter().any(|s| s.name == old.server.name) {
-                old.server.phase = Phase::Gone;
-                self.close(old);
-            }
-        }
-        let mut listed = Vec::new();
-        for server in servers {
-            let mut names = self.names.borrow_mut();
-            let next = ReplicaId(names.len() as u64 + 1);
-            let replica = *names.entry(server.name.clone()).or_insert(next);
-            let new = || Known { server: server.clone(), life: 0, idle: Vec::new() };
-            let held = known.entry(replica).or_insert_with(new);
-            if held.server.born != server.born || held.server.address != server.address {
-                held.life += 1;
-                self.close(held);
+impl Follows for Servers {
+    fn list(&self, servers: &[Server], zones: &[String], clock: &Clock) -> Vec<Listed> {
+        let (listed, changes) = self.book.borrow_mut().list(servers, zones, clock);
+        for (replica, change) in changes {
+            if !matches!(change, Change::Listed(_)) {
+                self.close(replica);
             }
-            held.server = server.clone();
-            let zone = zones.iter().position(|z| *z == server.zone).map_or(u8::MAX, |n| n as u8);
-            listed.push(Listed {
-                replica,
-                zone: ZoneId(zone),
-                cell: CellId(server.cell),
-                phase: server.phase,
-                weight: server.weight,
-                started: clock.born(server.born),
-            });
         }
         listed
     }
+}
+
+impl Servers {
+    pub fn new(sockets: Sockets, room: usize, log: Logger) -> Rc<Self> {
+        let (book, idle) = Default::default();
+        Rc::new(Servers { book, idle, sockets, room: Cell::new(room), log })
+    }
 
-    fn close(&self, known: &mut Known) {
-        self.room.set(self.room.get() + known.idle.len());
-        known.idle.clear();
+    fn close(&self, replica: ReplicaId) {
+        let idle = self.idle.borrow_mut().remove(&replica).unwrap_or_default();
+        self.room.set(self.room.get() + idle.len());
     }
 
     /// An idle connection that is still open, else a new one.
@@ -125,17 +101,15 @@
     }
 
     fn take_idle(&self, replica: ReplicaId) -> Option<(Async<TcpStream>, Instant)> {
-        self.known.borrow_mut().get_mut(&replica)?.idle.pop()
+        self.idle.borrow_mut().get_mut(&replica)?.pop()
     }
 
     fn ready(&self, replica: ReplicaId) -> Option<(SocketAddr, u64)> {
-        let known = self.known.borrow();
-        let known = known.get(&replica).filter(|k| k.server.phase == Phase::Ready)?;
-        Some((known.server.address, known.life))
+        self.book.borrow().ready(replica)
     }
 
     /// One request on one connection, from its place to the last byte of its answer.
-    async fn ask(self: &Rc<Self>, call: &Call<Carried>) -> Ended {
+    async fn ask(self: &Rc<Self>, call: &Call<Servers>) -> Ended {
         let Some((address, life)) = self.ready(call.replica) else { return Outcome::NotSent.into() };
         let Some(mut place) = self.connection(call.replica, address).await else {
             return self.failed(call, Outcome::NoConnection, (503, "connect_exception", "no connection"));
@@ -167,7 +141,7 @@
         }
     }
 
-    fn classify(&self, call: &Call<Carried>, message: &Message, buffer: &Buffer) -> Ended {
+    fn classify(&self, call: &Call<Servers>, message: &Message, buffer: &Buffer) -> Ended {
         let body = message.body(buffer);
         if message.status != 200 {
             let error: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
@@ -189,9 +163,9 @@
         }
     }
 
-    fn failed(&self, call: &Call<Carried>, outcome: Outcome, why: (u16, &str, &str)) -> Ended {
+    fn failed(&self, call: &Call<Servers>, outcome: Outcome, why: (u16, &str, &str)) -> Ended {
         let (status, kind, reason) = why;
-        let node = self.known.borrow().get(&call.replica).map(|k| k.server.name.clone()).unwrap_or_default();
+        let node = self.book.borrow().get(call.replica).map(|k| k.server.name.clone()).unwrap_or_default();
         debug!(self.log, "shard failed"; "shard" => call.shard.0, "server" => &node, "type" => kind, "reason" => reason);
         let failure = Failure { node, status, kind: kind.to_owned(), reason: reason.to_owned() };
         call.carried.notes.borrow_mut().failures.insert(call.shard, failure);
@@ -199,11 +173,11 @@
     }
 
     fn keep(&self, replica: ReplicaId, life: u64, mut place: Place) {
-        if let Some(known) = self.known.borrow_mut().get_mut(&replica).filter(|k| k.life == life) {
+        if self.book.borrow().get(replica).is_some_and(|k| k.life == life) {
             if let Some(stream) = place.stream.take() {
                 // It goes on holding its room.
                 place.holds.set(false);
-                known.idle.push((stream, Instant::now()));
+                self.idle.borrow_mut().entry(replica).or_default().push((stream, Instant::now()));
             }
         }
     }
@@ -243,7 +217,7 @@
     matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
 
-fn request(call: &Call<Carried>, address: SocketAddr) -> Vec<u8> {
+fn request(call: &Call<Servers>, address: SocketAddr) -> Vec<u8> {
     let Carried { search, opaque, ranked, .. } = &*call.carried;
     let left = call.deadline.saturating_duration_since(Instant::now()).as_millis().max(1);
     let body = if *ranked && call.step == Step::First { &search.ranking } else { &search.body };
@@ -262,7 +236,7 @@
 impl Transport for Servers {
     type Carried = Carried;
 
-    async fn call(self: Rc<Self>, call: Call<Carried>, stop: Stop) -> Ended {
+    async fn call(self: Rc<Self>, call: Call<Self>, stop: Stop) -> Ended {
         if let Step::Second { from, .. } = &call.step {
             call.carried.notes.borrow_mut().first = Some(from.clone());
         }
@@ -289,8 +263,6 @@
     }
 
     fn close_idle(&self, replica: ReplicaId) {
-        if let Some(known) = self.known.borrow_mut().get_mut(&replica) {
-            self.close(known);
-        }
+        self.close(replica);
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -153,6 +153,7 @@
         floor: family("LeastShare", need)?,
         partial: family("ClassPartial", 1.0)?,
         second_step: family("FetchParts", 0.0)? as u32,
+        copies: true,
     })
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,7 +74,7 @@
     pub weight: f64,
     pub attempts: Vec<Attempt>,
     pub served: bool,
-    /// Its end was told though we did not end it: nothing more may be sent for it.
+    /// Its end was told though we did not end it, or its value is on its way: nothing more may be sent for it.
     pub over: bool,
 }
 
@@ -103,6 +103,8 @@
     pub paused: bool,
     /// Its silence was noticed.
     pub silent: bool,
+    /// Its value has begun to come: how long the rest takes is no matter of its replica's.
+    pub streams: bool,
 }
 
 /// What is held against a replica, in all or for one class.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,7 +24,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
         command.env("RELAY_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
         if search {
-            command.arg("--opensearch").arg(folder.join("opensearch.toml"));
+            command.arg("serve").arg("--config").arg(folder.join("marlgap.json5"));
         }
         let mut child = command.spawn().expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
@@ -39,9 +39,11 @@
 
     /// Wait for a line of the log that holds `text`.
     pub fn log(&self, text: &str) -> String {
+        let latest = std::time::Instant::now() + PATIENCE;
         loop {
-            let line =
-                self.lines.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("no '{text}' logged: {e}"));
+            // Guards against waiting for good: other lines go on coming.
+            let left = latest.saturating_duration_since(std::time::Instant::now());
+            let line = self.lines.recv_timeout(left).unwrap_or_else(|e| panic!("no '{text}' logged: {e}"));
             if line.contains(text) {
                 return line;
             }
@@ -97,24 +99,12 @@
         hosts.join(",")
     );
     std::fs::write(folder.join("config.json"), config).expect("written");
-    let value: serde_json::Value = serde_json::from_str(&settings).expect("settings");
-    let mut file = toml::Table::new();
-    file.insert("listen".into(), "127.0.0.1:0".into());
-    file.insert("records".into(), "zone".into());
-    file.insert("service".into(), "_opensearch._tcp.t.test.".into());
-    let mut settings = toml::Table::try_from(value).expect("settings");
-    settings.insert("Discovery".into(), "push".into());
-    let index =
-        [("overlaps", "overlap-check"), ("fields", "field-lookup"), ("districts", "district-summary")];
-    let index = index.map(|(name, class)| {
-        toml::Value::from(toml::Table::from_iter([
-            ("name".to_owned(), name.into()),
-            ("class".to_owned(), class.into()),
-        ]))
-    });
-    file.insert("index".into(), index.to_vec().into());
-    file.insert("settings".into(), settings.into());
-    std::fs::write(folder.join("opensearch.toml"), file.to_string()).expect("written");
+    let mut settings: serde_json::Value = serde_json::from_str(&settings).expect("settings");
+    settings["Discovery"] = "push".into();
+    let indices = serde_json::json!({"overlaps": "overlap-check", "fields": "field-lookup", "districts": "district-summary"});
+    let file = serde_json::json!({"settings": settings, "query_api": {
+        "listen": "127.0.0.1:0", "records": "zone", "service": "_opensearch._tcp.t.test.", "indices": indices}});
+    std::fs::write(folder.join("marlgap.json5"), file.to_string()).expect("written");
     let all: Vec<_> = nodes.iter().map(|at| (*at, "up")).collect();
     records(&folder, &all);
     folder
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -15,6 +15,7 @@
         floor: 1.0,
         partial: 0.9,
         second_step: 0,
+        copies: true,
     }
 }
 
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -14,7 +14,8 @@
 use marlgap::net::frames::{self, FrameError};
 use marlgap::net::http::{self, HttpError, Kind};
 use marlgap::net::nodes::{Carried, Entry, Nodes};
-use marlgap::net::opensearch::{merge, query, records};
+use marlgap::net::opensearch::{merge, query};
+use marlgap::net::records;
 
 fn told(node: SocketAddr) -> marlgap::settings::Deployment {
     // A folder each: tests run side by side.
@@ -35,8 +36,7 @@
     let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
     let deadline = Instant::now() + PATIENCE;
     let begin = |shard| {
-        let call =
-            Call { replica, carried: carried.clone(), shard: ShardId(shard), step: Step::First, deadline };
+        let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
         let (hold, stop) = Stop::new();
         let attempt = executor.spawn(nodes.clone().call(call, stop));
         async move { (attempt.await.outcome, hold).0 }
@@ -64,8 +64,7 @@
     let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
     let deadline = Instant::now() + PATIENCE;
     let begin = |shard| {
-        let call =
-            Call { replica, carried: carried.clone(), shard: ShardId(shard), step: Step::First, deadline };
+        let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
         let (hold, stop) = Stop::new();
         (executor.spawn(nodes.clone().call(call, stop)), hold)
     };
@@ -102,8 +101,7 @@
     let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
     let deadline = Instant::now() + PATIENCE;
     let begin = |shard| {
-        let call =
-            Call { replica, carried: carried.clone(), shard: ShardId(shard), step: Step::First, deadline };
+        let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
         let (hold, stop) = Stop::new();
         (executor.spawn(nodes.clone().call(call, stop)), hold)
     };
@@ -138,7 +136,7 @@
     let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
     let ask = |shard, wait| {
         let (carried, deadline) = (carried.clone(), Instant::now() + Duration::from_millis(wait));
-        let call = Call { replica, carried, shard: ShardId(shard), step: Step::First, deadline };
+        let call = Call::alone(replica, carried, ShardId(shard), Step::First, deadline);
         let (_hold, stop) = Stop::new();
         async_io::block_on(executor.run(nodes.clone().call(call, stop))).outcome
     };
@@ -218,7 +216,7 @@
         assert_eq!(replica, ReplicaId(1));
         let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
         let deadline = Instant::now() + Duration::from_secs(5);
-        let call = Call { replica, carried, shard: ShardId(0), step: Step::First, deadline };
+        let call = Call::alone(replica, carried, ShardId(0), Step::First, deadline);
         let (_hold, stop) = Stop::new();
         let attempt = executor.spawn(nodes.clone().call(call, stop));
         // Begun, and queued on a connection that is not up yet.
@@ -332,10 +330,10 @@
     let at = SocketAddr::from(([127, 0, 0, 1], 9));
     let folder = configure("bad", &[at], at, 1, 75);
     let good = std::fs::read_to_string(folder.join("config.json")).expect("read");
-    let api = std::fs::read_to_string(folder.join("opensearch.toml")).expect("read");
+    let api = std::fs::read_to_string(folder.join("marlgap.json5")).expect("read");
     let run = |config: &str, api: &str, arguments: &[&str]| {
         std::fs::write(folder.join("config.json"), config).expect("written");
-        std::fs::write(folder.join("opensearch.toml"), api).expect("written");
+        std::fs::write(folder.join("marlgap.json5"), api).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
         command.env("RELAY_CONFIG", folder.join("config.json")).current_dir(&folder).args(arguments);
         let output = command.output().expect("it runs");
@@ -348,10 +346,25 @@
     assert!(run(&good.replace("\"seed\":\"1\"", "\"seed\":\"xyz\""), &api, &[]).contains("seed"));
     assert!(run(&good.replace("Positions", "Other"), &api, &[]).contains("FamilyInfo.Positions"));
     assert!(run(&good.replace("\"AimS\":4.0", "\"AimS\":-4.0"), &api, &[]).contains("classes"));
-    assert!(run(&good, &api, &["--other"]).contains("not an option"));
-    let search = ["--opensearch", "opensearch.toml"];
-    assert!(run(&good, "listen = 5", &search).contains("query API: "));
-    assert!(run(&good, &api.replace("\"field-lookup\"", "\"overlap-check\""), &search)
-        .contains("no index, or two"));
+    // The operator's file: each fault with its path, line and column.
+    let search = ["serve", "--config", "marlgap.json5"];
+    let faults = [
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":5", "query_api.listen: "),
+        ("\"records\"", "\"record\"", "query_api.record: unknown field"),
+        (
+            "\"field-lookup\",\"overlaps\"",
+            "\"no-class\",\"overlaps\"",
+            "query_api.indices.fields: no class 'no-class'",
+        ),
+        ("\"overlaps\":\"overlap-check\"", "\"overlaps\":\"field-lookup\"", "has another index"),
+        ("\"AimS\":4.0", "\"AimS\":\"4\"", "settings.Classes[0].AimS: "),
+        ("\"Shards\":24", "\"Shards\":0", "settings: FamilyInfo.Shards is missing or 0"),
+    ];
+    for (old, new, said) in faults {
+        assert!(api.contains(old), "{old} in {api}");
+        let line = run(&good, &api.replace(old, new), &search);
+        assert!(line.starts_with("marlgap: marlgap.json5:1:") && line.contains(said), "{line}");
+    }
+    assert!(run(&good, "{ settings: {", &search).contains("marlgap.json5:1:"));
     assert!(run(&good, &api.replace("\"zone\"", "\"nozone\""), &search).contains("cannot read"));
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -80,6 +80,7 @@
             floor: if rng.chance(50) { floor } else { floor.min(0.67) },
             partial: 0.9,
             second_step: if two_step { 3 } else { 0 },
+            copies: true,
         }
     });
     let mut classes: Vec<Class> = classes.collect();
