--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -26,15 +26,26 @@
         if search {
             command.arg("serve").arg("--config").arg(folder.join("marlgap.json5"));
         }
+        let mut program = Program::spawn(command);
+        program.address = place(&program.log(" listening, "));
+        program.search = search.then(|| place(&program.log("query API listening, ")));
+        program
+    }
+
+    /// Start it with the operator's file in `folder` alone.
+    pub fn alone(folder: &Path) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
+        command.env_remove("RELAY_CONFIG").stderr(Stdio::piped());
+        command.arg("serve").arg("--config").arg(folder.join("marlgap.json5"));
+        Program::spawn(command)
+    }
+
+    fn spawn(mut command: Command) -> Program {
         let mut child = command.spawn().expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (send, lines) = channel();
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).all(|l| send.send(l).is_ok()));
-        let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut program = Program { child, lines, address, search: None };
-        program.address = place(&program.log(" listening, "));
-        program.search = search.then(|| place(&program.log("query API listening, ")));
-        program
+        Program { child, lines, address: SocketAddr::from(([127, 0, 0, 1], 0)), search: None }
     }
 
     /// Wait for a line of the log that holds `text`.
@@ -63,7 +74,8 @@
     }
 }
 
-fn place(line: &str) -> SocketAddr {
+/// The address that a log line tells.
+pub fn place(line: &str) -> SocketAddr {
     let text = line.split("address: ").nth(1).expect("an address");
     text.split([',', ' ']).next().and_then(|a| a.parse().ok()).expect("an address")
 }
--- /dev/null
+++ b/tests/grpc_decisions.rs
@@ -0,0 +1,353 @@
+//! The decisions of the gRPC front without I/O: routes, the pool of connections, framing, replay and the guard.
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use marlgap::interface::{Phase, ReplicaId, ShardId};
+use marlgap::net::grpc::guard::{Flood, Guard};
+use marlgap::net::grpc::replay::{Budget, Next, Replay};
+use marlgap::net::grpc::wire::{self, Framer, Malformed};
+use marlgap::operator::{FrontLimits, Operator};
+use marlgap::pool::{Assign, ConnectionId, Do, Limits, Pool, Why};
+use marlgap::routes::{field, first_message, stable_hash, Field, NoShard};
+use proptest::prelude::*;
+
+/// The operator's file with these routes.
+fn operator(routes: &str) -> Result<Operator, String> {
+    let text = format!(
+        r#"{{ settings: {{ Classes: [{{Name: "c", AimS: 1, DeadlineS: 2, Worth: 1, Semantics: "pure"}}],
+        FamilyInfo: {{Shards: 24, Positions: 12, InARow: 4}}, Limits: {{MostTries: 4}} }},
+        grpc: {{ listen: "127.0.0.1:1", records: "r", service: "s.", routes: [{routes}] }} }}"#
+    );
+    Operator::parse(&text, Path::new("f")).map_err(|e| e.to_string())
+}
+
+fn row(pattern: &str, more: &str) -> String {
+    format!(r#"{{match: "{pattern}", kind: "unary", class: "c", shard: {{from: "any"}}, {more}}},"#)
+}
+
+#[test]
+fn rows_that_are_ambiguous_unreachable_or_senseless_are_refused_by_path() {
+    let faults = [
+        (row("/a.S/M", "") + &row("/a.S/M", ""), "grpc.routes[1].match: '/a.S/M' has another row"),
+        (row("*", "") + &row("*", ""), "grpc.routes[1].match: '*' has another row"),
+        (row("a.S/M", ""), "is not '/package.Service/Method'"),
+        (row("/a.S/M/N", ""), "is not '/package.Service/Method'"),
+        (row("/a..S/M", ""), "is not '/package.Service/Method'"),
+        (row("/grpc.health.v1.Health/Check", ""), "is never reached"),
+        (row("/a.S/M", "merge: 'concat'"), "grpc.routes[0].merge"),
+        (row("/a.S/M", "effect: 'keyed'"), "grpc.routes[0].window_s: is missing"),
+        (row("/a.S/M", "window_s: 1"), "goes with effect 'keyed'"),
+        (row("/a.S/M", "effect: 'keyed', window_s: 0"), "must be over 0"),
+        (row("/a.S/M", "message: 0"), "grpc.routes[0].message"),
+        (row("/a.S/M", "open: 0"), "grpc.routes[0].open"),
+        (row("/a.S/M", "").replace("\"any\"", "'field', path: [0]"), "grpc.routes[0].shard: path must hold"),
+        (row("/a.S/M", "").replace("\"any\"", "'metadata', key: 'A'"), "is not a metadata key"),
+        (row("/a.S/M", "").replace("\"any\"", "'metadata', key: 'grpc-timeout'"), "is not a metadata key"),
+    ];
+    for (rows, said) in faults {
+        let error = operator(&rows).err().unwrap_or_else(|| panic!("taken: {rows}"));
+        assert!(error.starts_with("f:3:") && error.contains(said), "{error}");
+    }
+    // A class more for each effect that a route gives one, and only then.
+    let rows = [
+        row("/a.S/A", "effect: 'unsafe'"),
+        row("/a.S/B", "effect: 'unsafe'"),
+        row("/a.S/C", ""),
+        row("*", "copy: false"),
+    ];
+    let grpc = operator(&rows.concat()).expect("sound").grpc.expect("there");
+    let class = |path: &str| grpc.routes.find(path).map(|r| r.class.0);
+    assert_eq!(["/a.S/A", "/a.S/B", "/a.S/C", "/x.Y/Z"].map(class), [Some(1), Some(1), Some(0), Some(2)]);
+    assert_eq!(grpc.told.class_names, ["c", "c", "c"]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// No path has two routes, and the one it has is the most specific that fits, whatever the rows' order.
+    #[test]
+    fn the_most_specific_route_is_found_in_any_order(
+        patterns in proptest::sample::subsequence(vec!["/a.S/M", "/a.S/N", "/a.S/*", "/a.T/M", "/a.T/*", "/b/*", "*"], 0..=7).prop_shuffle(),
+        service in prop::sample::select(vec!["a.S", "a.T", "b", "c"]),
+        method in prop::sample::select(vec!["M", "N", "O"]),
+    ) {
+        let rows: String = patterns.iter().map(|p| row(p, "")).collect();
+        let routes = operator(&rows).expect("sound").grpc.expect("there").routes;
+        let path = format!("/{service}/{method}");
+        let wanted = [path.clone(), format!("/{service}/*"), "*".to_owned()];
+        let wanted = wanted.iter().find(|w| patterns.contains(&w.as_str()));
+        prop_assert_eq!(routes.find(&path).map(|r| &r.pattern), wanted);
+        for odd in ["", "/", "//", "/a.S/", "/a.S/*", "a.S/M", "/a.S/M/x", "/a S/M"] {
+            prop_assert!(routes.find(odd).is_none(), "{odd}");
+        }
+    }
+
+    /// Whatever bytes come as a first message, reading it ends, and what prost writes is found.
+    #[test]
+    fn any_bytes_can_be_looked_into(noise in prop::collection::vec(any::<u8>(), 0..200), n in any::<u64>(), inner in any::<u32>()) {
+        let _ = field(&noise, &[1, 2]);
+        let _ = first_message(&noise, true, Some("gzip"), 100);
+        let mut message = Vec::new();
+        prost::encoding::uint64::encode(3, &n, &mut message);
+        let mut nested = Vec::new();
+        prost::encoding::fixed32::encode(2, &inner, &mut nested);
+        prost::encoding::bytes::encode(1, &nested, &mut message);
+        prop_assert_eq!(field(&message, &[3]), Ok(Some(Field::Number(n))));
+        prop_assert_eq!(field(&message, &[1, 2]), Ok(Some(Field::Number(inner.into()))));
+        prop_assert_eq!(field(&message, &[1]), Ok(Some(Field::Bytes(&nested))));
+        prop_assert_eq!(field(&message, &[4]), Ok(None));
+        // A later one counts; one cut short is none.
+        prost::encoding::uint64::encode(3, &7, &mut message);
+        prop_assert_eq!(field(&message, &[3]), Ok(Some(Field::Number(7))));
+        prop_assert!(field(&message[..message.len() - 1], &[3]).is_err());
+    }
+
+    /// The framer says the same of a stream however it is cut.
+    #[test]
+    fn framing_does_not_depend_on_the_cuts(
+        messages in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..6),
+        spoil in prop::option::of((0usize..200, any::<u8>())),
+        cuts in prop::collection::vec(1usize..30, 1..40),
+    ) {
+        let mut bytes: Vec<u8> = messages.iter().flat_map(|m| [&[0][..], &(m.len() as u32).to_be_bytes(), m].concat()).collect();
+        if let Some((at, with)) = spoil.filter(|(at, _)| *at < bytes.len()) {
+            bytes[at] = with;
+        }
+        let judge = |cuts: &mut dyn Iterator<Item = usize>| {
+            let (mut framer, mut rest) = (Framer::new(64, true), &bytes[..]);
+            while !rest.is_empty() {
+                let n = cuts.next().unwrap_or(rest.len()).min(rest.len());
+                framer.follow(&rest[..n])?;
+                rest = &rest[n..];
+            }
+            framer.end().map(|()| framer.whole())
+        };
+        let whole = judge(&mut std::iter::empty());
+        prop_assert_eq!(judge(&mut cuts.into_iter()), whole);
+        if spoil.is_none() {
+            prop_assert_eq!(whole, Ok(messages.len()));
+        }
+    }
+
+    /// Time-outs written are read back, never longer than they were and at most a thousandth shorter.
+    #[test]
+    fn timeouts_survive(nanos in 1u64..u64::MAX / 2) {
+        let time = Duration::from_nanos(nanos);
+        let text = wire::write_timeout(time);
+        prop_assert!(text.len() <= 9);
+        let read = wire::timeout(text.as_bytes()).expect("read");
+        prop_assert!(read <= time && time - read <= time / 1000, "{text}");
+    }
+
+    /// Any order of things that happen keeps the pool's bounds, and no call goes where none may.
+    #[test]
+    fn the_pool_keeps_its_bounds(steps in prop::collection::vec((0u8..12, 0u8..16, 0u8..100), 1..200)) {
+        let limits = Limits { connections: 2, streams: 3, waiting: 5, ..Limits::default() };
+        let mut pool = Pool::new(limits);
+        let (mut now, server) = (Instant::now(), |n: u8| ReplicaId(u64::from(n % 3)));
+        (0..3).for_each(|n| pool.phase(now, server(n), Phase::Ready));
+        let mut phases = [Phase::Ready; 3];
+        let mut coming: BTreeSet<ConnectionId> = BTreeSet::new();
+        // What the server of each connection allows, and the calls that it carries.
+        let mut up: BTreeMap<ConnectionId, (usize, usize)> = BTreeMap::new();
+        let mut draining: BTreeSet<ConnectionId> = BTreeSet::new();
+        let mut homes: BTreeMap<ConnectionId, ReplicaId> = BTreeMap::new();
+        for (what, a, b) in steps {
+            let some_up = || up.keys().nth(usize::from(a) % up.len().max(1)).copied();
+            match what {
+                0..=3 => match pool.assign(now, server(a), usize::from(b % 7)) {
+                    Assign::Take(id) => {
+                        let (allowed, open) = up.get_mut(&id).expect("it is up");
+                        *open += 1;
+                        prop_assert!(*open <= (*allowed).min(3), "over the limit");
+                        prop_assert!(!draining.contains(&id), "on one that drains");
+                        prop_assert_eq!(homes[&id], server(a));
+                        prop_assert_eq!(phases[usize::from(a % 3)], Phase::Ready);
+                    }
+                    Assign::Open(id) => {
+                        prop_assert!(b % 7 < 5 && phases[usize::from(a % 3)] == Phase::Ready);
+                        coming.insert(id);
+                        homes.insert(id, server(a));
+                    }
+                    Assign::NotReady => prop_assert!(phases[usize::from(a % 3)] != Phase::Ready),
+                    Assign::Full => prop_assert!(b % 7 >= 5),
+                    Assign::Resting(until) => prop_assert!(until > now && until <= now + Duration::from_secs(5)),
+                    Assign::Wait => {}
+                },
+                4 => if let Some(id) = coming.pop_first() {
+                    pool.up(now, id, usize::from(b % 5));
+                    up.insert(id, (usize::from(b % 5), 0));
+                },
+                5 => if let Some(id) = coming.pop_last() {
+                    pool.failed(now, id, f64::from(b) / 100.0);
+                },
+                6 => if let Some(id) = some_up() {
+                    let (_, open) = up.get_mut(&id).expect("up");
+                    if *open > 0 {
+                        *open -= 1;
+                        pool.release(now, id);
+                    }
+                },
+                7 => if let Some(id) = some_up() {
+                    pool.drain(now, id);
+                    draining.insert(id);
+                },
+                8 => if let Some(id) = some_up() {
+                    pool.ended(id);
+                    up.remove(&id);
+                },
+                9 => {
+                    let phase = [Phase::Ready, Phase::Draining, Phase::Gone][usize::from(b % 3)];
+                    phases[usize::from(a % 3)] = phase;
+                    pool.phase(now, server(a), phase);
+                    if phase != Phase::Ready {
+                        draining.extend(homes.iter().filter(|(_, s)| **s == server(a)).map(|(id, _)| *id));
+                    }
+                }
+                10 => if let Some(id) = some_up() {
+                    pool.allowed(id, usize::from(b % 4));
+                    up.get_mut(&id).expect("up").0 = usize::from(b % 4);
+                },
+                _ => {
+                    now += Duration::from_millis(u64::from(b) * 10);
+                    let due = pool.due();
+                    let acts = pool.tick(now);
+                    prop_assert!(acts.is_empty() || due.is_some_and(|d| d <= now), "nothing is done before it is due");
+                    for act in acts {
+                        match act {
+                            Do::Ping(id) => prop_assert!(up[&id].1 > 0, "asked though it owes nothing"),
+                            Do::Close(id, why) => {
+                                let (_, open) = up.remove(&id).expect("it is up");
+                                prop_assert!(open == 0 || matches!(why, Why::Silent | Why::Drained));
+                            }
+                        }
+                    }
+                    // Aged ones drain by themselves, which the ten seconds of this test do not reach.
+                }
+            }
+            prop_assert_eq!(pool.check(), Ok(()));
+        }
+    }
+}
+
+#[test]
+fn a_silent_connection_is_asked_then_given_up_and_others_are_preferred_meanwhile() {
+    let mut pool = Pool::new(Limits { connections: 2, streams: 1, ..Limits::default() });
+    let (server, at) = (ReplicaId(1), |ms: u64| Duration::from_millis(ms));
+    let start = Instant::now();
+    pool.phase(start, server, Phase::Ready);
+    let Assign::Open(first) = pool.assign(start, server, 0) else { panic!("none") };
+    assert_eq!(pool.assign(start, server, 0), Assign::Wait, "one is coming up");
+    pool.up(start, first, 10);
+    assert_eq!(pool.assign(start, server, 0), Assign::Take(first));
+    let Assign::Open(second) = pool.assign(start, server, 0) else { panic!("the first is full") };
+    pool.up(start, second, 10);
+    assert_eq!(pool.tick(start + at(499)), []);
+    assert_eq!(pool.due(), Some(start + at(500)));
+    assert_eq!(pool.tick(start + at(500)), [Do::Ping(first)]);
+    pool.heard(start + at(600), first);
+    assert_eq!(pool.tick(start + at(1100)), [Do::Ping(first)]);
+    // Asked and silent: the other one takes what comes, then this one is given up.
+    pool.release(start + at(1100), first);
+    assert_eq!(pool.assign(start + at(1200), server, 0), Assign::Take(second));
+    assert_eq!(pool.assign(start + at(1200), server, 0), Assign::Take(first));
+    assert_eq!(pool.tick(start + at(1600)), [Do::Close(first, Why::Silent)]);
+    // A drain lets what is under way end, in time.
+    pool.phase(start + at(1700), server, Phase::Draining);
+    assert_eq!(pool.assign(start + at(1700), server, 0), Assign::NotReady);
+    pool.heard(start + at(1700), second);
+    pool.release(start + at(1800), second);
+    assert_eq!(pool.tick(start + at(1800)), [Do::Close(second, Why::Drained)]);
+    // Failed connects rest for longer each time, by chance within their second half.
+    pool.phase(start, server, Phase::Ready);
+    let mut rests = Vec::new();
+    for chance in [0.0, 0.0, 0.0, 1.0] {
+        let now = start + at(60_000 * (rests.len() as u64 + 1));
+        let Assign::Open(id) = pool.assign(now, server, 0) else { panic!("rested") };
+        pool.failed(now, id, chance);
+        let Assign::Resting(until) = pool.assign(now, server, 0) else { panic!("rests") };
+        rests.push((until - now).as_millis());
+    }
+    assert_eq!(rests, [50, 100, 200, 800]);
+}
+
+#[test]
+fn a_replay_is_whole_until_it_is_committed_and_bounded_for_all() {
+    let budget = Budget::new(10);
+    let (mut one, mut two) = (Replay::new(6, budget.clone()), Replay::new(6, budget.clone()));
+    let chunk = |n: usize| Bytes::from(vec![n as u8; n]);
+    one.push(chunk(4));
+    assert!(one.has_room());
+    assert_eq!((one.next(0), one.next(1)), (Next::Chunk(chunk(4)), Next::Wait));
+    one.push(chunk(3));
+    assert!(!one.has_room(), "its own bound");
+    assert_eq!((one.next(0), one.next(2)), (Next::Chunk(chunk(4)), Next::Commit), "whole, and full");
+    two.push(chunk(3));
+    assert!(!two.has_room(), "the bound of all");
+    assert_eq!((two.next(1), budget.held()), (Next::Commit, 10));
+    one.sent(2);
+    assert_eq!((one.next(2), budget.held(), one.has_room()), (Next::Wait, 3, true));
+    one.end();
+    assert_eq!((one.next(2), one.has_room()), (Next::End, false));
+    drop((one, two));
+    assert_eq!(budget.held(), 0, "what is dropped gives its room back");
+}
+
+#[test]
+fn the_guard_counts_frames_by_second_however_they_are_cut() {
+    let limits = FrontLimits { pings: 3, empty_data: 1, ..FrontLimits::default() };
+    let start = Instant::now();
+    let frame = |kind: u8, flags: u8, length: usize| {
+        [&[0, 0, length as u8, kind, flags, 0, 0, 0, 1][..], &vec![6; length]].concat()
+    };
+    let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
+    bytes.extend(
+        [frame(4, 0, 0), frame(0, 0, 200), frame(0, 1, 0), frame(0, 0, 0), frame(6, 0, 8).repeat(3)].concat(),
+    );
+    for cut in [1, 7, 9, 1000] {
+        let mut guard = Guard::new(&limits);
+        assert!(bytes.chunks(cut).all(|c| guard.follow(start, c).is_ok()), "{cut}");
+        assert_eq!(guard.follow(start, &frame(6, 0, 8)), Err(Flood::Ping));
+        let mut guard = Guard::new(&limits);
+        assert!(bytes.chunks(cut).all(|c| guard.follow(start, c).is_ok()));
+        assert_eq!(guard.follow(start + Duration::from_secs(1), &frame(6, 0, 8)), Ok(()), "another second");
+        assert_eq!(
+            guard.follow(start + Duration::from_secs(1), &frame(0, 0, 0).repeat(2)),
+            Err(Flood::EmptyData)
+        );
+    }
+}
+
+#[test]
+fn shards_come_from_metadata_and_hashes_stay() {
+    let rows = [
+        row("/a.S/Number", "").replace("\"any\"", "'metadata', key: 'tile'"),
+        row("/a.S/Several", "merge: 'concat'").replace("\"any\"", "'metadata', key: 'tile'"),
+        row("/a.S/Hash", "").replace("\"any\"", "'metadata', key: 'farmer', as: 'hash'"),
+        row("/a.S/Any", ""),
+    ];
+    let routes = operator(&rows.concat()).expect("sound").grpc.expect("there").routes;
+    let shards = |path: &str, values: &[&'static str]| {
+        let route = routes.find(path).expect("there");
+        route
+            .shards(|_| values.to_vec(), None, 25)
+            .map(|s| s.iter().map(|s: &ShardId| s.0).collect::<Vec<_>>())
+    };
+    assert_eq!(shards("/a.S/Number", &["7"]), Ok(vec![7]));
+    assert_eq!(shards("/a.S/Number", &["7", "8"]), Err(NoShard::Several));
+    assert_eq!(shards("/a.S/Number", &["+7"]).map_err(|e| matches!(e, NoShard::Bad(_))), Err(true));
+    assert_eq!(shards("/a.S/Number", &["24"]), Err(NoShard::Range(24)));
+    assert_eq!(shards("/a.S/Several", &["9, 2", "5"]), Ok(vec![2, 5, 9]));
+    assert_eq!(shards("/a.S/Several", &["9,9"]), Err(NoShard::Twice(9)));
+    assert_eq!(shards("/a.S/Any", &[]), Ok(vec![1]));
+    // FNV-1a's own test value: a change here would send every keyed call elsewhere.
+    assert_eq!(stable_hash(b"foobar"), 0x85944171f73967e8);
+    assert_eq!(shards("/a.S/Hash", &["foobar"]), Ok(vec![(0x85944171f73967e8u64 % 24) as u32]));
+    assert_eq!(
+        wire::message(&wire::concat([&b"ab"[..], b"c"].into_iter()).expect("made")),
+        Some((false, &b"abc"[..]))
+    );
+    assert_eq!(Framer::new(1, false).end(), Err(Malformed::Empty));
+}
