--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -308,12 +308,14 @@
         let (request, reply, last) = (RefCell::new(replay), Default::default(), Default::default());
         let (request_moved, reply_moved) = Default::default();
         let (path, route, effect) = (head.uri.path().to_owned(), route.clone(), class.effect);
+        let bound = self.limits.window as usize;
         let carried = Exchange {
             path,
             metadata,
             route,
             effect,
             merged,
+            bound,
             request,
             request_moved,
             reply,
@@ -535,20 +537,16 @@
         let down = async {
             loop {
                 let moved = exchange.reply_moved.listen();
-                let (head, chunk, over) = {
-                    let mut reply = exchange.reply.borrow_mut();
+                let (head, over) = {
+                    let reply = exchange.reply.borrow();
                     let opened = matches!(side, Side::Head(_)) && reply.head.is_some();
-                    (opened.then(|| reply.head.clone()).flatten(), reply.chunk.take(), reply.over)
+                    (opened.then(|| reply.head.clone()).flatten(), reply.over)
                 };
                 if let Some(head) = head {
                     open(side, head)?;
                 }
-                match chunk {
-                    Some(chunk) => {
-                        // Its place is free again: one more may be on its way while this one waits for its window.
-                        exchange.reply_moved.notify(usize::MAX);
-                        write(side, chunk).await?;
-                    }
+                match exchange.take() {
+                    Some(chunk) => write(side, chunk).await?,
                     None if over => return Ok(()),
                     None => {
                         let moved = async {
--- a/src/net/grpc/guard.rs
+++ b/src/net/grpc/guard.rs
@@ -36,6 +36,10 @@
 pub struct Guard {
     most: [u32; 6],
     count: [u32; 6],
+    /// Writes of ours and their bytes in this second: sound clients answer data by WINDOW_UPDATEs and by PINGs that
+    /// measure the way.
+    writes: u32,
+    written: usize,
     second: Option<Instant>,
     head: [u8; HEADER],
     got: usize,
@@ -46,13 +50,22 @@
 impl Guard {
     pub fn new(l: &FrontLimits) -> Guard {
         let most = [l.empty_data, l.resets, l.settings, l.pings, l.continuations, l.others];
-        Guard { most, count: [0; 6], second: None, head: [0; HEADER], got: 0, skip: PREFACE }
+        Guard {
+            most,
+            count: [0; 6],
+            writes: 0,
+            written: 0,
+            second: None,
+            head: [0; HEADER],
+            got: 0,
+            skip: PREFACE,
+        }
     }
 
     /// Look at the next bytes; the kind of frame of which there are too many in this second, if there is one.
     pub fn follow(&mut self, now: Instant, mut bytes: &[u8]) -> Result<(), Flood> {
         if self.second.is_none_or(|s| now >= s + Duration::from_secs(1)) {
-            (self.second, self.count) = (Some(now), [0; 6]);
+            (self.second, self.count, self.writes, self.written) = (Some(now), [0; 6], 0, 0);
         }
         while !bytes.is_empty() {
             if self.skip > 0 {
@@ -75,6 +88,12 @@
         Ok(())
     }
 
+    /// So many bytes went to the client in one write.
+    pub fn wrote(&mut self, bytes: usize) {
+        self.writes = self.writes.saturating_add(1);
+        self.written = self.written.saturating_add(bytes);
+    }
+
     fn frame(&mut self, kind: u8, flags: u8) -> Result<(), Flood> {
         let flood = match kind {
             // What ends a stream, or carries something, is work that was asked for.
--- a/src/net/grpc/io.rs
+++ b/src/net/grpc/io.rs
@@ -56,9 +56,11 @@
 }
 
 impl AsyncWrite for Guarded<'_> {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let mut stream = self.stream;
-        Pin::new(&mut stream).poll_write(cx, buf)
+        let n = std::task::ready!(Pin::new(&mut stream).poll_write(cx, buf))?;
+        self.guard.wrote(n);
+        Poll::Ready(Ok(n))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/net/grpc/servers.rs
+++ b/src/net/grpc/servers.rs
@@ -274,6 +274,7 @@
             .initial_connection_window_size(limits.connection_window)
             .max_header_list_size(limits.header_list)
             .max_concurrent_reset_streams(MOST_RESET)
+            .data_frame_budget(SMALL_DATA * limits.connection_window as usize)
             .handshake::<_, Bytes>(stream.compat())
             .await
             .ok()?;
@@ -295,6 +296,10 @@
 /// connection.
 const MOST_RESET: usize = 256;
 
+/// How many windows' worth of what h2 counts for small DATA frames may wait on one connection to a server. Guards
+/// everybody's calls there against the end of that connection when a slow reader holds up a stream of small messages.
+const SMALL_DATA: usize = 16;
+
 type Carrier = h2::client::Connection<tokio_util::compat::Compat<Async<TcpStream>>, Bytes>;
 
 /// A call that waits for a place, counted from its first wait on.
--- a/tests/grpc_decisions.rs
+++ b/tests/grpc_decisions.rs
@@ -310,6 +310,11 @@
         let mut guard = Guard::new(&limits);
         assert!(bytes.chunks(cut).all(|c| guard.follow(start, c).is_ok()), "{cut}");
         assert_eq!(guard.follow(start, &frame(6, 0, 8)), Err(Flood::Ping));
+        // What was sent to the client earns it some; the answers to its PINGs do not.
+        guard.wrote(17 * 30);
+        assert_eq!(guard.follow(start, &frame(6, 0, 8)), Err(Flood::Ping));
+        (0..3).for_each(|_| guard.wrote(1024));
+        assert_eq!(guard.follow(start, &frame(6, 0, 8)), Ok(()));
         let mut guard = Guard::new(&limits);
         assert!(bytes.chunks(cut).all(|c| guard.follow(start, c).is_ok()));
         assert_eq!(guard.follow(start + Duration::from_secs(1), &frame(6, 0, 8)), Ok(()), "another second");
