Write a part to a data node only when its connection has a free place

Checked by reading: the one thread writes a frame before the answer that calls it off, and looks at the stop right before each write; nothing of a query is queued again after its end. What remains is a frame that the data node reads late: beyond 32 parts a connection, parts wait unread there. `connection` gave back the fullest one once four were open or the room was taken, and given-up parts were held to have left their place at their deadline, though what runs goes on (slow, pauses and heavy_tail came together). Change: the writer takes no part from the queue while all places are held (cancels and probes go on), so that one waits with us and is called off there; given-up parts hold their place a second past their time. A frame of several parts no longer loses them when what follows in the queue is not one of them. Test: a 33rd part is called off while 32 are out, and never goes out; it did before.

--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -33,6 +33,10 @@
 const DEAD: Duration = Duration::from_secs(1);
 /// How long a data node may take to take a new connection after one broke, to count as living.
 const LIVES: Duration = Duration::from_millis(50);
+/// For how long behind its time a given-up part may still hold its place.
+const LATE: Duration = Duration::from_secs(1);
+/// Time between looks for a free place where parts wait for one: those of given-up parts are freed by time.
+const LOOK: Duration = Duration::from_millis(20);
 /// Given up parts that are remembered for a connection, so that their answers are known when they come late.
 const MOST_GIVEN_UP: usize = 64;
 /// How long a data node stays known that is gone. Its restarts are told from its last life for so long; any
@@ -91,13 +95,26 @@
 }
 
 impl Connection {
-    /// Parts that hold one of its places or wait for one. Given-up ones do too, until they are answered or out
-    /// of time: guards against parts that would wait unread, out of our reach.
+    /// Parts that hold one of its places or wait for one.
     fn load(&self) -> usize {
-        let (queue, now) = (self.queue.borrow(), Instant::now());
-        let given_up = self.given_up.borrow().iter().filter(|item| item.deadline > now).count();
+        let queue = self.queue.borrow();
         let queued = queue.iter().filter(|o| matches!(o, Out::Part(_))).count();
-        queued + self.waiting.borrow().len() + given_up
+        queued + self.carried(Instant::now())
+    }
+
+    /// Parts that hold one of its places. Given-up ones do too, until they are answered or well out of time: what
+    /// runs there goes on, and a slow data node is late with it.
+    fn carried(&self, now: Instant) -> usize {
+        let given_up = self.given_up.borrow().iter().filter(|item| item.deadline + LATE > now).count();
+        self.waiting.borrow().len() + given_up
+    }
+
+    /// Where in the queue the next one is that may be written: no part without a free place. Guards against parts
+    /// that would wait unread at the data node, out of our reach, and be read behind their query's final answer.
+    fn next(&self, streams: usize) -> Option<usize> {
+        let queue = self.queue.borrow();
+        let full = self.carried(Instant::now()) >= streams;
+        queue.iter().position(|out| !full || !matches!(out, Out::Part(_)))
     }
 
     fn idle(&self) -> bool {
@@ -373,8 +390,10 @@
         let idle = self.told.sockets.idle.mul_f64(IDLE_SHARE);
         let mut bytes = Vec::new();
         loop {
-            let some =
-                by(connection.used.get() + idle, connection.wait(|| !connection.queue.borrow().is_empty()));
+            let streams = self.told.sockets.streams;
+            let crowded = !connection.queue.borrow().is_empty();
+            let latest = if crowded { Instant::now() + LOOK } else { connection.used.get() + idle };
+            let some = by(latest, connection.wait(|| connection.next(streams).is_some()));
             if some.await.is_none() {
                 let unused = connection.used.get() + idle <= Instant::now();
                 if unused && connection.idle() {
@@ -422,7 +441,18 @@
         let (mut parts, now) = (Vec::new(), Instant::now());
         let per_call = self.told.settings.per_call.max(1) as usize;
         let at = frames::open(bytes, b'q');
-        while let Some(out) = queue.pop_front() {
+        let streams = self.told.sockets.streams;
+        loop {
+            // The frame's own parts take places too.
+            let full = connection.carried(now) + parts.len() >= streams;
+            let next = queue.iter().position(|out| !full || !matches!(out, Out::Part(_)));
+            // What has been put together goes out before anything that is no part of it.
+            let part = next.is_some_and(|n| matches!(queue[n], Out::Part(_)));
+            if !parts.is_empty() && !part {
+                frames::seal(bytes, at);
+                return (parts, None);
+            }
+            let Some(out) = next.and_then(|n| queue.remove(n)) else { break };
             match out {
                 // Its attempt has ended, or is about to be told so.
                 Out::Part(item) if item.stop.called_off() || item.deadline <= now => {}
@@ -436,7 +466,7 @@
                     bytes.extend_from_slice(head.as_bytes());
                     bytes.extend_from_slice(&item.carried.statement);
                     parts.push(item);
-                    if parts.len() == per_call || !matches!(queue.front(), Some(Out::Part(_))) {
+                    if parts.len() == per_call {
                         frames::seal(bytes, at);
                         return (parts, None);
                     }
@@ -533,6 +563,10 @@
         let owing = |connection: &Connection| {
             let some = !connection.waiting.borrow().is_empty();
             connection.owes.set(some.then_some(now));
+            // A place is free: for a part that waits for one.
+            if !connection.queue.borrow().is_empty() {
+                connection.wake.notify(usize::MAX);
+            }
         };
         match frame {
             Frame::Answer { id, end, score, report, value } => {
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -52,6 +52,56 @@
     outcomes
 }
 
+/// Guards the rule on final answers: what a data node has no place for would wait unread there, out of our reach.
+#[test]
+fn a_part_without_a_place_stays_with_us_until_there_is_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let executor = Rc::new(LocalExecutor::new());
+    // One connection, of 32 places.
+    let nodes = Nodes::new(told(address), 1, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
+    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let deadline = Instant::now() + PATIENCE;
+    let begin = |shard| {
+        let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
+        let (hold, stop) = Stop::new();
+        (executor.spawn(nodes.clone().call(call, stop)), hold)
+    };
+    let mut begun: Vec<_> = (1..=33).map(begin).collect();
+    let ((full, is_full), (go, gone)) = (async_channel::bounded(1), async_channel::bounded::<()>(1));
+    let node = std::thread::spawn(move || {
+        let mut stream = listener.accept().expect("accepted").0;
+        let frames = (0..32).filter_map(|_| read_frame(&mut stream)).count();
+        full.send_blocking(frames).expect("heard");
+        gone.recv_blocking().expect("told");
+        stream.write_all(&frame("a a1.7 served 1 -\nV")).expect("written");
+        read_frame(&mut stream).expect("a frame")
+    });
+    async_io::block_on(executor.run(async {
+        assert_eq!(is_full.recv().await, Ok(32));
+        // The one without a place is called off; the next one gets the place that is freed.
+        let (last, hold) = begun.pop().expect("begun");
+        drop(hold);
+        assert_eq!(last.await.outcome, Outcome::Cancelled);
+        begun.push(begin(34));
+        go.send(()).await.expect("heard");
+        assert_eq!(begun.remove(6).0.await.outcome, Outcome::Served);
+        let next = futures_lite::future::or(async { blocking_join(node).await }, async {
+            async_io::Timer::at(deadline).await;
+            String::new()
+        });
+        assert!(next.await.starts_with("q a1.34 34 "), "the part that was called off went out");
+    }));
+}
+
+/// Wait for a thread while the executor runs on.
+async fn blocking_join<T: Send + 'static>(thread: std::thread::JoinHandle<T>) -> T {
+    let (send, done) = async_channel::bounded(1);
+    std::thread::spawn(move || drop(send.send_blocking(thread.join().expect("ran"))));
+    done.recv().await.expect("joined")
+}
+
 /// Guards the rule on final answers: a part that waits for its turn on a connection is not written once it is
 /// called off, even where its connection's turn comes before its own.
 #[test]
