Show GOAWAY's last stream, silent servers, long heads, idle clients and health's Watch

Need: these rules of the gRPC front were built and not yet shown by a test. Result: calls that must not run twice go elsewhere behind GOAWAY; a silent server's connection is given up after 0.4 s (0.1 s to the PING, 0.3 s for its answer, as set there).

--- a/tests/grpc/main.rs
+++ b/tests/grpc/main.rs
@@ -5,8 +5,9 @@
 mod standin;
 
 use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -442,6 +443,70 @@
     });
 }
 
+/// A server written by hand, for what no sound one does: it answers PINGs until a call comes. Then it says GOAWAY and
+/// that it has seen no stream (`leaves`), or nothing any more. Calls that it saw are counted.
+fn rude_server(leaves: bool) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let (at, calls) = (listener.local_addr().expect("bound"), Arc::new(AtomicUsize::new(0)));
+    let calls_of = calls.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let calls = calls_of.clone();
+            std::thread::spawn(move || {
+                let mut preface = [0; 24];
+                drop(stream.read_exact(&mut preface));
+                // Empty settings, and the ACK of the other's.
+                drop(stream.write_all(b"\0\0\0\x04\0\0\0\0\0\0\0\0\x04\x01\0\0\0\0"));
+                let (mut head, mut silent) = ([0; 9], false);
+                while stream.read_exact(&mut head).is_ok() {
+                    let mut payload = vec![0; usize::from(head[1]) << 8 | usize::from(head[2])];
+                    drop(stream.read_exact(&mut payload));
+                    match head[3] {
+                        1 => {
+                            calls.fetch_add(1, Ordering::SeqCst);
+                            silent = !leaves;
+                            if leaves {
+                                drop(stream.write_all(b"\0\0\x08\x07\0\0\0\0\0\0\0\0\0\0\0\0\0"));
+                            }
+                        }
+                        6 if head[4] == 0 && !silent => {
+                            drop(stream.write_all(&[b"\0\0\x08\x06\x01\0\0\0\0", &payload[..]].concat()));
+                        }
+                        _ => {}
+                    }
+                }
+            });
+        }
+    });
+    (at, calls)
+}
+
+#[test]
+fn streams_above_goaways_last_one_never_ran_and_a_silent_connection_is_given_up() {
+    // Half of the draws fall on the one that leaves: its calls go elsewhere, also those that must not run twice.
+    let rig = new_rig("grpc_goaway", 2, |_| {});
+    let (rude, calls) = rude_server(true);
+    records(&rig.folder, &[(rig.servers[0], "up"), (rude, "up")]);
+    drop(rig.program.log("list of servers"));
+    for n in 0..20 {
+        let id = format!("goaway-{n}");
+        let got = rig.call(ONCE, &id, "ok:1:0");
+        rig.judge(&id, &got, Code::Ok, 1, 1..=1);
+    }
+    assert!(calls.load(Ordering::SeqCst) > 0, "it was tried");
+    // One that takes a call and says nothing more, PINGs included: 0.1 s to the PING, 0.3 s for its answer.
+    let rig = new_rig("grpc_mute", 1, |_| {});
+    let (mute, calls) = rude_server(false);
+    records(&rig.folder, &[(mute, "up")]);
+    drop(rig.program.log("list of servers"));
+    let begun = Instant::now();
+    let got = rig.call(ONCE, "mute", "ok:1:0");
+    let took = begun.elapsed();
+    assert_eq!((got.code(), calls.load(Ordering::SeqCst)), (Code::Unavailable as u32, 1), "{got:?}");
+    assert!(took > Duration::from_millis(390) && took < Duration::from_millis(1500), "{took:?}");
+    drop(rig.program.log("connection to a server given up"));
+}
+
 /// Frames written by hand, behind the preface and empty settings.
 fn raw(front: SocketAddr, frames: &[u8]) -> std::net::TcpStream {
     let mut stream = connect(front);
@@ -467,7 +532,7 @@
 
 #[test]
 fn floods_end_their_connection_with_goaway_and_nobody_elses_call_suffers() {
-    let rig = new_rig("grpc_floods", 1, |_| {});
+    let rig = new_rig("grpc_floods", 1, |file| file["grpc"]["front"]["idle_s"] = 1.0.into());
     let frame = |kind: u8, flags: u8, stream: u32, payload: &[u8]| {
         let length = (payload.len() as u32).to_be_bytes();
         [&length[1..], &[kind, flags], &stream.to_be_bytes(), payload].concat()
@@ -509,6 +574,15 @@
             assert_eq!(code, Some(11), "{kind}: ENHANCE_YOUR_CALM");
         }
     });
+    // Too long a head, and more calls than may be, cost their own calls alone; who rests is told to go.
+    Client::with(rig.front, async |client| {
+        let long = "x".repeat(20_000);
+        let got = client
+            .call(SAFE, &[("call-id", "long"), ("do", "ok:1:0"), ("tile", "3"), ("x", &long)], b"x")
+            .await;
+        assert!(got.messages == 0 && rig.record.of("long").is_empty(), "{got:?}");
+    });
+    assert_eq!(goaway(&mut raw(rig.front, &[])), Some(0), "idle: an orderly GOAWAY");
     // Who says nothing, or something else, is closed in time.
     let begun = Instant::now();
     for said in [&b""[..], b"GET / HTTP/1.1\r\n\r\n", b"PRI * HTTP/2.0\r\n"] {
@@ -571,8 +645,11 @@
     rig.program.signal("-HUP");
     drop(rig.program.log("routes not reread"));
     assert_eq!(rig.call("/t.S/New", "still", "ok:1:0").code(), 0);
-    // SIGTERM: what was taken is finished, then the program ends well.
+    // SIGTERM: what was taken is finished, then the program ends well; who watches its health is told.
     Client::with(rig.front, async |client| {
+        let (watched, mut watch) = client.begin("/grpc.health.v1.Health/Watch", &[]).await;
+        drop(watch.send_data(Bytes::from_static(b"\0\0\0\0\0"), true));
+        let watching = client.executor().spawn(read(watched));
         let (answer, mut stream) =
             client.begin("/t.S/Bidi", &[("call-id", "last"), ("do", "echo"), ("tile", "1")]).await;
         drop(stream.send_data(Bytes::from_static(b"\0\0\0\0\x01a"), false));
@@ -583,6 +660,8 @@
         drop(stream.send_data(Bytes::from_static(b"\0\0\0\0\x01b"), true));
         assert!(body.data().await.expect("data").is_ok());
         assert_eq!(body.trailers().await.expect("read").expect("there")["grpc-status"], "0");
+        let told = watching.await;
+        assert_eq!((&told.body[..], told.code()), ("\x08\x01\x08\x02", Code::Unavailable as u32), "{told:?}");
     });
     drop(rig.program.log("stopped"));
 }
