Let a final answer wait for a frame of its query that is still on its way

But the last frames were written 0.06 to 0.5 ms before the answer: a hedge or copy goes out, and in the same pass the answer that makes it needless is read. Data nodes in other rooms are 0.7 to 1.3 ms away, so such a frame comes after the answer does. Change: the platform's front holds an answer for what is left of 2 ms since the query's last frame was written, never up to the client's deadline.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -208,6 +208,11 @@
 }
 
 impl<T: Transport> Taken<T> {
+    /// When its client's time is up.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// What the front handed in, while the query is open; for a front that streams.
     pub fn carried(&self) -> Rc<T::Carried> {
         self.carried.clone()
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use futures_lite::FutureExt;
 use serde::Deserialize;
 use slog::{info, warn, Logger};
@@ -135,7 +136,17 @@
                                 info!(self.log, "no room for another query"; "open" => self.core.open(),
                                     "held" => self.core.held(), "spared" => spared);
                             }
-                            let ended = async { Some(taken.outcome().await) };
+                            // Guards against an answer that overtakes a frame written just before it.
+                            let carried = taken.carried();
+                            let ended = async {
+                                let outcome = taken.outcome().await;
+                                let now = Instant::now();
+                                let settled = carried.settled(now, taken.deadline());
+                                if settled > now {
+                                    Timer::at(settled).await;
+                                }
+                                Some(outcome)
+                            };
                             let left = async {
                                 client.gone(message.length).await;
                                 None
@@ -234,7 +245,7 @@
         }
         parts.iter_mut().for_each(|p| p.1 /= sum);
         // Copied: attempts are written long after the buffer has moved on.
-        let carried = Carried { id: id.to_owned(), statement: body.statement.as_bytes().to_vec() };
+        let carried = Carried::new(id.to_owned(), body.statement.as_bytes().to_vec());
         self.open.borrow_mut().insert(id.to_owned());
         let open = Taken(self.open.clone(), id.to_owned());
         Ok((Query { class: ClassId(class as u16), deadline, repeat, parts, carried }, open))
--- a/src/net/nodes.rs
+++ b/src/net/nodes.rs
@@ -35,6 +35,8 @@
 const LIVES: Duration = Duration::from_millis(50);
 /// For how long behind its time a given-up part may still hold its place.
 const LATE: Duration = Duration::from_secs(1);
+/// How long a frame may be on its way to a data node in another room.
+const ON_ITS_WAY: Duration = Duration::from_millis(2);
 /// Time between looks for a free place where parts wait for one: those of given-up parts are freed by time.
 const LOOK: Duration = Duration::from_millis(20);
 /// Given up parts that are remembered for a connection, so that their answers are known when they come late.
@@ -51,6 +53,21 @@
 pub struct Carried {
     pub id: String,
     pub statement: Vec<u8>,
+    /// When the last frame of it was written.
+    pub written: Cell<Option<Instant>>,
+}
+
+impl Carried {
+    pub fn new(id: String, statement: Vec<u8>) -> Carried {
+        Carried { id, statement, written: Cell::new(None) }
+    }
+
+    /// From when on its final answer may go out: a frame that was written in the same breath comes to its data node
+    /// up to a few milliseconds later, and must not be overtaken by the answer. Never up to the deadline.
+    pub fn settled(&self, now: Instant, deadline: Instant) -> Instant {
+        let settled = self.written.get().map_or(now, |at| at + ON_ITS_WAY);
+        settled.min(deadline.checked_sub(ON_ITS_WAY).unwrap_or(now)).max(now)
+    }
 }
 
 /// Where the answer to a probe goes: whether the data node answered, and its report.
@@ -415,6 +432,7 @@
             // The parts wait from their first byte on, so that none is left out of what the connection holds;
             // until the last byte is written they have not run.
             connection.waiting.borrow_mut().extend(parts.iter().cloned());
+            parts.iter().for_each(|item| item.carried.written.set(Some(connection.used.get())));
             if !parts.is_empty() && connection.owes.get().is_none() {
                 connection.owes.set(Some(Instant::now()));
             }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -33,7 +33,7 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let nodes = Nodes::new(told(address), 8, executor.clone(), log);
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
-    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
     let begin = |shard| {
         let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
@@ -61,7 +61,7 @@
     // One connection, of 32 places.
     let nodes = Nodes::new(told(address), 1, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
-    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
     let begin = |shard| {
         let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
@@ -95,6 +95,20 @@
     }));
 }
 
+/// Guards the rule on final answers, as the other side sees it: no answer overtakes a frame on its way.
+#[test]
+fn an_answer_waits_for_a_frame_that_was_written_just_before() {
+    let (now, ms) = (Instant::now(), Duration::from_millis);
+    let (carried, deadline) = (Carried::new(String::new(), Vec::new()), now + ms(100));
+    assert_eq!(carried.settled(now, deadline), now, "nothing was written");
+    carried.written.set(Some(now));
+    assert_eq!(carried.settled(now, deadline), now + ms(2));
+    assert_eq!(carried.settled(now + ms(1), deadline), now + ms(2));
+    assert_eq!(carried.settled(now + ms(5), deadline), now + ms(5), "it has come by now");
+    carried.written.set(Some(now + ms(98)));
+    assert_eq!(carried.settled(now + ms(99), deadline), now + ms(99), "not up to the deadline");
+}
+
 /// Wait for a thread while the executor runs on.
 async fn blocking_join<T: Send + 'static>(thread: std::thread::JoinHandle<T>) -> T {
     let (send, done) = async_channel::bounded(1);
@@ -111,7 +125,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
-    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
     let begin = |shard| {
         let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
@@ -148,7 +162,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
-    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
     let begin = |shard| {
         let call = Call::alone(replica, carried.clone(), ShardId(shard), Step::First, deadline);
@@ -183,7 +197,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
-    let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+    let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let ask = |shard, wait| {
         let (carried, deadline) = (carried.clone(), Instant::now() + Duration::from_millis(wait));
         let call = Call::alone(replica, carried, ShardId(shard), Step::First, deadline);
@@ -264,7 +278,7 @@
         let entry = |phase, born| Entry { name: "n0".to_owned(), address, phase, born };
         let replica = nodes.list(&entry(Phase::Ready, 0));
         assert_eq!(replica, ReplicaId(1));
-        let carried = Rc::new(Carried { id: "a1".to_owned(), statement: b"hi".to_vec() });
+        let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
         let deadline = Instant::now() + Duration::from_secs(5);
         let call = Call::alone(replica, carried, ShardId(0), Step::First, deadline);
         let (_hold, stop) = Stop::new();
