Give a client's stream that turns bad a status, and split the gRPC front's caller off

Cause, found on reading the change again: a stream that cannot be read behind its first message was taken for a client that left, so its call ended by a reset without a status; a call has exactly one. Change: `Left` tells the two apart; the call is withdrawn and ends with INVALID_ARGUMENT or RESOURCE_EXHAUSTED.

--- /dev/null
+++ b/src/net/grpc/caller.rs
@@ -0,0 +1,228 @@
+//! The client's side of a call. Only the call's own task has it: h2 keeps one waker for a stream's window and reset.
+use std::future::poll_fn;
+use std::task::Poll;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
+use h2::server::SendResponse;
+use h2::{RecvStream, SendStream};
+use http::{header, HeaderMap, HeaderValue, Response};
+
+use super::exchange::Exchange;
+use super::status::{Code, Status};
+use super::wire::{self, Framer, Malformed};
+use crate::net::by;
+
+pub(super) fn malformed(e: Malformed) -> Status {
+    let code =
+        if matches!(e, Malformed::TooLong(_)) { Code::ResourceExhausted } else { Code::InvalidArgument };
+    Status::new(code, e.to_string())
+}
+
+pub(super) fn grpc_head() -> HeaderMap {
+    HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/grpc"))])
+}
+
+/// The client has reset its call, or its connection is gone; or what it sends cannot be read.
+#[derive(Debug)]
+pub(super) enum Left {
+    Gone,
+    Malformed(Malformed),
+}
+
+pub(super) enum Side {
+    Head(SendResponse<Bytes>),
+    Body(SendStream<Bytes>),
+    Done,
+}
+
+/// The client's side of a call.
+pub(super) struct Caller {
+    pub(super) body: RecvStream,
+    pub(super) side: Side,
+}
+
+impl Caller {
+    /// Take the request's first message, or all of it. `Err(None)`: the client is gone.
+    pub(super) async fn take(
+        &mut self,
+        framer: &mut Framer,
+        whole: bool,
+    ) -> Result<BytesMut, Option<Status>> {
+        let mut held = BytesMut::new();
+        while whole || framer.whole() == 0 {
+            match self.body.data().await {
+                Some(Ok(data)) => {
+                    drop(self.body.flow_control().release_capacity(data.len()));
+                    framer.follow(&data).map_err(|e| Some(malformed(e)))?;
+                    held.extend_from_slice(&data);
+                }
+                Some(Err(_)) => return Err(None),
+                None if whole => return Ok(held),
+                None => return Err(Some(malformed(Malformed::Empty))),
+            }
+        }
+        Ok(held)
+    }
+
+    /// Carry the answer to the client, and what it goes on to send to the attempts, until the query is over and all
+    /// of its answer has gone.
+    pub(super) async fn relay(&mut self, exchange: &Exchange, framer: Framer) -> Result<(), Left> {
+        let Caller { body, side } = self;
+        let down = async {
+            loop {
+                let moved = exchange.reply_moved.listen();
+                let (head, over) = {
+                    let reply = exchange.reply.borrow();
+                    let opened = matches!(side, Side::Head(_)) && reply.head.is_some();
+                    (opened.then(|| reply.head.clone()).flatten(), reply.over)
+                };
+                if let Some(head) = head {
+                    open(side, head)?;
+                }
+                match exchange.take() {
+                    Some(chunk) => write(side, chunk).await?,
+                    None if over => return Ok(()),
+                    None => {
+                        let moved = async {
+                            moved.await;
+                            Ok(())
+                        };
+                        let left = async {
+                            gone(side).await;
+                            Err(Left::Gone)
+                        };
+                        moved.or(left).await?;
+                    }
+                }
+            }
+        };
+        let up = async {
+            if exchange.route.kind.streams_up() {
+                feed(body, exchange, framer).await?;
+            }
+            std::future::pending().await
+        };
+        return down.or(up).await;
+
+        async fn feed(body: &mut RecvStream, exchange: &Exchange, mut framer: Framer) -> Result<(), Left> {
+            loop {
+                loop {
+                    let moved = exchange.request_moved.listen();
+                    if exchange.request.borrow().has_room() {
+                        break;
+                    }
+                    moved.await;
+                }
+                match body.data().await {
+                    Some(Ok(data)) => {
+                        let length = data.len();
+                        // What cannot be read goes no further, and is told apart from a client that left.
+                        framer.follow(&data).map_err(Left::Malformed)?;
+                        exchange.request.borrow_mut().push(data);
+                        drop(body.flow_control().release_capacity(length));
+                    }
+                    Some(Err(_)) => return Err(Left::Gone),
+                    None => {
+                        exchange.request.borrow_mut().end();
+                        exchange.request_moved.notify(usize::MAX);
+                        return Ok(());
+                    }
+                }
+                exchange.request_moved.notify(usize::MAX);
+            }
+        }
+
+        async fn gone(side: &mut Side) {
+            poll_fn(|cx| poll_gone(side, cx)).await;
+        }
+    }
+
+    pub(super) fn open(&mut self, head: HeaderMap) -> Result<(), Left> {
+        open(&mut self.side, head)
+    }
+
+    pub(super) async fn write(&mut self, chunk: Bytes) -> Result<(), Left> {
+        write(&mut self.side, chunk).await
+    }
+
+    /// Resolves when the client resets the call or goes.
+    pub(super) async fn gone(&mut self) {
+        poll_fn(|cx| poll_gone(&mut self.side, cx)).await;
+    }
+
+    /// The one message of several shards' answers, and its status, which says what it rests on. `None`: it could not
+    /// leave in time.
+    pub(super) async fn merged(
+        &mut self,
+        shards: &[crate::interface::ShardId],
+        values: &[(crate::interface::ShardId, crate::core::Value)],
+        whole: bool,
+        deadline: Instant,
+    ) -> Option<HeaderMap> {
+        let mut order: Vec<_> = values.iter().collect();
+        order.sort_by_key(|(shard, _)| *shard);
+        let message = wire::concat(order.iter().map(|(_, value)| &value[..]))?;
+        self.open(grpc_head()).ok()?;
+        by(deadline, self.write(message)).await?.ok()?;
+        let mut trailers = wire::trailers(&Status::new(Code::Ok, ""));
+        let named: Vec<String> = order.iter().map(|(shard, _)| shard.0.to_string()).collect();
+        trailers.insert("marlgap-whole", HeaderValue::from_static(if whole { "1" } else { "0" }));
+        trailers.insert("marlgap-shards", HeaderValue::try_from(named.join(",")).ok()?);
+        trailers.insert("marlgap-shards-asked", HeaderValue::from(shards.len()));
+        Some(trailers)
+    }
+
+    /// The one status: in trailers where something went before them, else alone in the headers.
+    pub(super) fn end(&mut self, trailers: HeaderMap) {
+        match std::mem::replace(&mut self.side, Side::Done) {
+            Side::Head(mut respond) => {
+                let mut response = Response::new(());
+                *response.headers_mut() = trailers;
+                let grpc = HeaderValue::from_static("application/grpc");
+                response.headers_mut().entry(header::CONTENT_TYPE).or_insert(grpc);
+                drop(respond.send_response(response, true));
+            }
+            Side::Body(mut stream) => drop(stream.send_trailers(trailers)),
+            Side::Done => {}
+        }
+    }
+}
+
+fn open(side: &mut Side, head: HeaderMap) -> Result<(), Left> {
+    if let Side::Head(respond) = side {
+        let mut response = Response::new(());
+        *response.headers_mut() = head;
+        *side = Side::Body(respond.send_response(response, false).map_err(|_| Left::Gone)?);
+    }
+    Ok(())
+}
+
+/// Write a chunk as the client's window allows.
+async fn write(side: &mut Side, mut chunk: Bytes) -> Result<(), Left> {
+    let Side::Body(stream) = side else { return Err(Left::Gone) };
+    while !chunk.is_empty() {
+        stream.reserve_capacity(chunk.len());
+        while stream.capacity() == 0 {
+            // Asked for both in one task: h2 keeps one waker for them.
+            poll_fn(|cx| match (stream.poll_reset(cx), stream.poll_capacity(cx)) {
+                (Poll::Ready(_), _) | (_, Poll::Ready(None | Some(Err(_)))) => Poll::Ready(Err(Left::Gone)),
+                (_, Poll::Ready(Some(Ok(_)))) => Poll::Ready(Ok(())),
+                _ => Poll::Pending,
+            })
+            .await?;
+        }
+        let part = chunk.split_to(stream.capacity().min(chunk.len()));
+        stream.send_data(part, false).map_err(|_| Left::Gone)?;
+    }
+    Ok(())
+}
+
+fn poll_gone(side: &mut Side, cx: &mut std::task::Context<'_>) -> Poll<()> {
+    match side {
+        Side::Head(respond) => respond.poll_reset(cx).map(drop),
+        Side::Body(stream) => stream.poll_reset(cx).map(drop),
+        Side::Done => Poll::Pending,
+    }
+}
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -5,7 +5,6 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -15,14 +14,15 @@
 use event_listener::Event as Wake;
 use futures_lite::FutureExt;
 use h2::server::SendResponse;
-use h2::{Reason, RecvStream, SendStream};
-use http::{header, HeaderMap, HeaderValue, Method, Request, Response};
+use h2::{Reason, RecvStream};
+use http::{HeaderMap, Method, Request};
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 use slog::{info, warn, Logger};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use super::attempt::passed_on;
+use super::caller::{grpc_head, malformed, Caller, Left, Side};
 use super::exchange::Exchange;
 use super::guard::Guard;
 use super::health;
@@ -30,7 +30,7 @@
 use super::replay::{Budget, Replay};
 use super::servers::Servers;
 use super::status::{self, Code, Status};
-use super::wire::{self, Framer, Malformed};
+use super::wire::{self, Framer};
 use crate::core::{Core, Final, Query};
 use crate::net::clients::{Client, Closing};
 use crate::net::{by, Ration};
@@ -346,7 +346,12 @@
         };
         let relay = Box::pin(client.relay(&exchange, framer));
         let ended = by(deadline, relay.or(outcome)).await;
-        if let Some(Err(Gone)) = ended {
+        if let Some(Err(Left::Malformed(e))) = ended {
+            // Dropping what was taken withdraws it.
+            drop(taken);
+            return Err(malformed(e));
+        }
+        if let Some(Err(Left::Gone)) = ended {
             // Dropping what was taken withdraws it.
             if let Some(spared) = self.said.gone.line() {
                 info!(self.log, "client gone"; "path" => head.uri.path(),
@@ -488,208 +493,3 @@
 fn gone() -> Status {
     Status::new(Code::Cancelled, "the client has gone")
 }
-
-fn malformed(e: Malformed) -> Status {
-    let code =
-        if matches!(e, Malformed::TooLong(_)) { Code::ResourceExhausted } else { Code::InvalidArgument };
-    Status::new(code, e.to_string())
-}
-
-fn grpc_head() -> HeaderMap {
-    HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/grpc"))])
-}
-
-/// The client has reset its call, or its connection is gone.
-struct Gone;
-
-enum Side {
-    Head(SendResponse<Bytes>),
-    Body(SendStream<Bytes>),
-    Done,
-}
-
-/// The client's side of a call.
-struct Caller {
-    body: RecvStream,
-    side: Side,
-}
-
-impl Caller {
-    /// Take the request's first message, or all of it. `Err(None)`: the client is gone.
-    async fn take(&mut self, framer: &mut Framer, whole: bool) -> Result<BytesMut, Option<Status>> {
-        let mut held = BytesMut::new();
-        while whole || framer.whole() == 0 {
-            match self.body.data().await {
-                Some(Ok(data)) => {
-                    drop(self.body.flow_control().release_capacity(data.len()));
-                    framer.follow(&data).map_err(|e| Some(malformed(e)))?;
-                    held.extend_from_slice(&data);
-                }
-                Some(Err(_)) => return Err(None),
-                None if whole => return Ok(held),
-                None => return Err(Some(malformed(Malformed::Empty))),
-            }
-        }
-        Ok(held)
-    }
-
-    /// Carry the answer to the client, and what it goes on to send to the attempts, until the query is over and all
-    /// of its answer has gone.
-    async fn relay(&mut self, exchange: &Exchange, framer: Framer) -> Result<(), Gone> {
-        let Caller { body, side } = self;
-        let down = async {
-            loop {
-                let moved = exchange.reply_moved.listen();
-                let (head, over) = {
-                    let reply = exchange.reply.borrow();
-                    let opened = matches!(side, Side::Head(_)) && reply.head.is_some();
-                    (opened.then(|| reply.head.clone()).flatten(), reply.over)
-                };
-                if let Some(head) = head {
-                    open(side, head)?;
-                }
-                match exchange.take() {
-                    Some(chunk) => write(side, chunk).await?,
-                    None if over => return Ok(()),
-                    None => {
-                        let moved = async {
-                            moved.await;
-                            Ok(())
-                        };
-                        let left = async {
-                            gone(side).await;
-                            Err(Gone)
-                        };
-                        moved.or(left).await?;
-                    }
-                }
-            }
-        };
-        let up = async {
-            if exchange.route.kind.streams_up() {
-                feed(body, exchange, framer).await?;
-            }
-            std::future::pending().await
-        };
-        return down.or(up).await;
-
-        async fn feed(body: &mut RecvStream, exchange: &Exchange, mut framer: Framer) -> Result<(), Gone> {
-            loop {
-                loop {
-                    let moved = exchange.request_moved.listen();
-                    if exchange.request.borrow().has_room() {
-                        break;
-                    }
-                    moved.await;
-                }
-                match body.data().await {
-                    Some(Ok(data)) => {
-                        let length = data.len();
-                        // What cannot be read goes no further; its call ends as if it had left.
-                        framer.follow(&data).map_err(|_| Gone)?;
-                        exchange.request.borrow_mut().push(data);
-                        drop(body.flow_control().release_capacity(length));
-                    }
-                    Some(Err(_)) => return Err(Gone),
-                    None => {
-                        exchange.request.borrow_mut().end();
-                        exchange.request_moved.notify(usize::MAX);
-                        return Ok(());
-                    }
-                }
-                exchange.request_moved.notify(usize::MAX);
-            }
-        }
-
-        async fn gone(side: &mut Side) {
-            poll_fn(|cx| poll_gone(side, cx)).await;
-        }
-    }
-
-    fn open(&mut self, head: HeaderMap) -> Result<(), Gone> {
-        open(&mut self.side, head)
-    }
-
-    async fn write(&mut self, chunk: Bytes) -> Result<(), Gone> {
-        write(&mut self.side, chunk).await
-    }
-
-    /// Resolves when the client resets the call or goes.
-    async fn gone(&mut self) {
-        poll_fn(|cx| poll_gone(&mut self.side, cx)).await;
-    }
-
-    /// The one message of several shards' answers, and its status, which says what it rests on. `None`: it could not
-    /// leave in time.
-    async fn merged(
-        &mut self,
-        shards: &[crate::interface::ShardId],
-        values: &[(crate::interface::ShardId, crate::core::Value)],
-        whole: bool,
-        deadline: Instant,
-    ) -> Option<HeaderMap> {
-        let mut order: Vec<_> = values.iter().collect();
-        order.sort_by_key(|(shard, _)| *shard);
-        let message = wire::concat(order.iter().map(|(_, value)| &value[..]))?;
-        self.open(grpc_head()).ok()?;
-        by(deadline, self.write(message)).await?.ok()?;
-        let mut trailers = wire::trailers(&Status::new(Code::Ok, ""));
-        let named: Vec<String> = order.iter().map(|(shard, _)| shard.0.to_string()).collect();
-        trailers.insert("marlgap-whole", HeaderValue::from_static(if whole { "1" } else { "0" }));
-        trailers.insert("marlgap-shards", HeaderValue::try_from(named.join(",")).ok()?);
-        trailers.insert("marlgap-shards-asked", HeaderValue::from(shards.len()));
-        Some(trailers)
-    }
-
-    /// The one status: in trailers where something went before them, else alone in the headers.
-    fn end(&mut self, trailers: HeaderMap) {
-        match std::mem::replace(&mut self.side, Side::Done) {
-            Side::Head(mut respond) => {
-                let mut response = Response::new(());
-                *response.headers_mut() = trailers;
-                let grpc = HeaderValue::from_static("application/grpc");
-                response.headers_mut().entry(header::CONTENT_TYPE).or_insert(grpc);
-                drop(respond.send_response(response, true));
-            }
-            Side::Body(mut stream) => drop(stream.send_trailers(trailers)),
-            Side::Done => {}
-        }
-    }
-}
-
-fn open(side: &mut Side, head: HeaderMap) -> Result<(), Gone> {
-    if let Side::Head(respond) = side {
-        let mut response = Response::new(());
-        *response.headers_mut() = head;
-        *side = Side::Body(respond.send_response(response, false).map_err(|_| Gone)?);
-    }
-    Ok(())
-}
-
-/// Write a chunk as the client's window allows.
-async fn write(side: &mut Side, mut chunk: Bytes) -> Result<(), Gone> {
-    let Side::Body(stream) = side else { return Err(Gone) };
-    while !chunk.is_empty() {
-        stream.reserve_capacity(chunk.len());
-        while stream.capacity() == 0 {
-            // Asked for both in one task: h2 keeps one waker for them.
-            poll_fn(|cx| match (stream.poll_reset(cx), stream.poll_capacity(cx)) {
-                (Poll::Ready(_), _) | (_, Poll::Ready(None | Some(Err(_)))) => Poll::Ready(Err(Gone)),
-                (_, Poll::Ready(Some(Ok(_)))) => Poll::Ready(Ok(())),
-                _ => Poll::Pending,
-            })
-            .await?;
-        }
-        let part = chunk.split_to(stream.capacity().min(chunk.len()));
-        stream.send_data(part, false).map_err(|_| Gone)?;
-    }
-    Ok(())
-}
-
-fn poll_gone(side: &mut Side, cx: &mut std::task::Context<'_>) -> Poll<()> {
-    match side {
-        Side::Head(respond) => respond.poll_reset(cx).map(drop),
-        Side::Body(stream) => stream.poll_reset(cx).map(drop),
-        Side::Done => Poll::Pending,
-    }
-}
--- a/src/net/grpc/mod.rs
+++ b/src/net/grpc/mod.rs
@@ -1,6 +1,7 @@
 //! gRPC passed through (gRPC over HTTP/2): a front and its client side on the same core, module and rules. It
 //! listens where the operator's file says. `docs/grpc.md` is its page, `docs/design-grpc.md` its reasons.
 mod attempt;
+mod caller;
 mod exchange;
 pub mod front;
 pub mod guard;
--- a/tests/grpc/main.rs
+++ b/tests/grpc/main.rs
@@ -425,6 +425,12 @@
             assert_eq!(got.code(), code as u32, "case {n}: {got:?}");
             assert!(rig.record.of(&id).is_empty(), "case {n} reached a server");
         }
+        // A stream that turns bad behind its first message gets a status too, and no reset.
+        let (answer, mut stream) =
+            client.begin("/t.S/Bidi", &[("call-id", "turns"), ("do", "echo"), ("tile", "3")]).await;
+        drop(stream.send_data([&one[..], &[2, 0, 0, 0, 0]].concat().into(), false));
+        let got = read(answer).await;
+        assert_eq!((got.code(), got.reset), (InvalidArgument as u32, None), "{got:?}");
         // What is sound is served, packed too.
         for (id, body) in [
             ("plain", one.clone()),
