Give each test of broken connections an address of its own

Cause: the test closes its listener, and a test beside it may be given the same port by the system at that moment; the new connection then comes up there. More tests that bind at once made it likelier. Change: each such test binds to an address of the loopback range that no other uses.

--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -27,7 +27,10 @@
 
 /// Two parts on one connection to a data node that does as told; how they ended.
 fn two_parts(node: impl FnOnce(TcpListener, TcpStream) + Send + 'static) -> (Outcome, Outcome) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    // An address of its own: a port that this test gives back must not be another's next one.
+    static LAST: std::sync::atomic::AtomicU8 = std::sync::atomic::AtomicU8::new(10);
+    let own = LAST.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let listener = TcpListener::bind((std::net::Ipv4Addr::new(127, 0, 0, own), 0)).expect("bound");
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
     let log = slog::Logger::root(slog::Discard, slog::o!());
