Judge what a cold data node stands by what warm ones serve, not by the fleet's average

After a restart it was reckoned from 5 s of sends that we had not lived yet. cold_room() was at fault.

Now it goes by what warm ones served us, over the time that we have lived. The rule's multiple and its caution stay.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -64,12 +64,12 @@
 /// Step of the running median of a class's patience, and how far under it a try counts as cut short.
 const USUAL_STEP: f64 = 0.01;
 const USUAL_SLACK: f64 = 0.07;
-/// Parts open at the start for each replica, over all co-ordinators, the least limit, its step, its cut.
+/// Parts open at the start for each replica, over all co-ordinators, the least limit, its step, its cut, and
+/// seconds after a cut in which its step comes back to its full size.
 const LIMIT_START: f64 = 6.0;
 const LIMIT_LEAST: f64 = 4.0;
 const LIMIT_STEP: f64 = 0.3;
 const LIMIT_CUT: f64 = 0.85;
-/// Seconds after a cut in which the limit's step comes back to its full size.
 const EASED: f64 = 2.0;
 /// Expected time of a query over its aim, under which the limit grows and over which it shrinks.
 const STRAIN_LOW: f64 = 0.4;
@@ -77,9 +77,9 @@
 /// Weight of the newest response time of a replica in its usual one, and seconds in which that half fades.
 const TOOK_GAIN: f64 = 0.3;
 const TOOK_HALF: f64 = 2.0;
-/// Seconds after which a replica that is gone is forgotten: longer than any attempt is out.
+/// Seconds after which a replica that is gone is forgotten.
 const FORGET: f64 = 30.0;
-/// Seconds that a replica is left alone which is full, or could not be reached.
+/// Seconds that a full or unreachable replica is left alone.
 const FULL_REST: f64 = 0.2;
 /// Probes stay under this share of recent parts; seconds between probes of one replica at least.
 const PROBE_SHARE: f64 = 0.1;
@@ -101,6 +101,7 @@
     cells: BTreeMap<u32, BTreeSet<ReplicaId>>,
     /// How many are ready, and the mean of the queues that they reported lately, as this round begins.
     ready: f64,
+    warm: f64,
     average: f64,
     queries: BTreeMap<QueryNumber, Query>,
     parts: BTreeMap<PartId, Part>,
@@ -133,6 +134,7 @@
             replicas: BTreeMap::new(),
             cells: BTreeMap::new(),
             ready: 1.0,
+            warm: 1.0,
             average: 0.0,
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
@@ -172,6 +174,8 @@
         self.recent.trim(self.now - window);
         let known: Vec<f64> = self.replicas.values().filter_map(|r| self.reported(r)).collect();
         self.average = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        let warm = |r: &&Replica| r.listed.phase == Phase::Ready && !r.cold(now, self.s.cold);
+        self.warm = self.replicas.values().filter(warm).count().max(1) as f64;
         self.subscribe();
         self.watch_silence();
         self.admit();
@@ -202,7 +206,7 @@
 
     // Membership.
 
-    /// A drain or a loss acts at once: only `Ready` replicas are drawn. A full list drops what it lacks.
+    /// A drain or a loss acts at once. A full list drops what it lacks.
     fn members(&mut self, news: News, entries: &[Listed]) {
         match news {
             News::Failed => {
@@ -224,7 +228,6 @@
         self.forget();
     }
 
-    /// Guards a long run, in which replicas are replaced for good, against growing.
     fn forget(&mut self) {
         let now = self.now;
         let (replicas, cells) = (&mut self.replicas, &mut self.cells);
@@ -237,12 +240,11 @@
         });
     }
 
-    /// Replicas that are remembered.
     pub fn known(&self) -> usize {
         self.replicas.len()
     }
 
-    /// A replica with a new start is a new process: what was held against the old one is dropped.
+    /// A replica with a new start is a new process.
     fn list(&mut self, entry: &Listed) {
         if entry.phase == Phase::Gone && !self.replicas.contains_key(&entry.replica) {
             return;
@@ -598,6 +600,9 @@
             Outcome::TurnedAway => (r.rest, r.full) = (now + FULL_REST, r.out.len()),
             Outcome::Served => {
                 self.unanswered[usize::from(flight.paused)] *= 1.0 - GAIN;
+                if !r.cold(now, self.s.cold) {
+                    self.recent.borne.add(now);
+                }
                 r.whole.served(self.now, flight.sent);
                 r.classes.entry(flight.class).or_default().served(self.now, flight.sent);
             }
@@ -655,8 +660,7 @@
         }
     }
 
-    /// Guards against queries that bring down whatever begins their parts: several replicas break while they
-    /// hold parts of one query and hardly any serves it. It ends there: no retry takes it to a third replica.
+    /// Guards against queries that bring down whatever begins their parts: no retry goes to a third replica.
     fn testify(&mut self, part: PartId, replica: ReplicaId, outcome: Outcome) {
         let number = self.parts.get(&part).map(|p| p.number);
         let Some(q) = number.and_then(|n| self.queries.get_mut(&n)) else { return };
@@ -666,13 +670,12 @@
         }
     }
 
-    /// Seen deaths make queries of many parts suspect, whoever sent them: each tries one part first, so sound
-    /// ones are served and a deadly one breaks one replica only. May hurt by the time of one part.
+    /// Seen deaths make queries of many parts suspect: each tries one part first, and may break one replica.
     fn on_probation(&self, query: &Query) -> bool {
         query.served == 0 && query.parts.len() > FEW_PARTS && self.suspect > self.now
     }
 
-    /// Guards against replicas that take work and answer nothing, whatever keeps them silent.
+    /// Guards against replicas that take work and answer nothing.
     fn watch_silence(&mut self) {
         let limit = self.now - (SILENT_TAIL * self.pace.tail).max(8.0 * self.s.round);
         let mut found = Vec::new();
@@ -689,10 +692,10 @@
 
     // Slow start.
 
-    /// Whether a cold replica stands another part from us: our share of what it may get in any window,
-    /// reckoned from what a replica of this fleet bears on average. A share of less than one part waits for
-    /// as many windows as make up one, from a random point on, so that co-ordinators don't meet there.
-    /// Just after our own start we cannot know what our former life sent, so a window passes first.
+    /// Whether a cold replica stands another part from us: our share of what it may get in any window, by
+    /// what a warm one serves us: while many are cold, more than the average. A share of less than one part
+    /// waits for as many windows as make up one, from a random point on, so that co-ordinators don't meet
+    /// there. Just after our start, what our former life sent is unknown, so a window passes first.
     fn cold_room(&mut self, id: ReplicaId) -> bool {
         let (Some(rule), now) = (self.s.cold, self.now) else { return true };
         let Some(r) = self.replicas.get_mut(&id) else { return false };
@@ -700,7 +703,8 @@
             r.sent.count(now - rule.after);
             return true;
         };
-        let per_window = self.recent.sends.count(now - RECENT) / self.ready * rule.after / RECENT;
+        let span = RECENT.min(now - self.born).max(rule.after);
+        let per_window = self.recent.borne.count(now - RECENT) / self.warm * rule.after / span;
         let capacity = rule.from + (1.0 - rule.from) * ((now - start) / rule.ramp).max(0.0);
         let share = (COLD_CAUTION * rule.multiple * capacity * per_window).max(1e-3);
         let span = rule.after / share.min(1.0);
@@ -756,15 +760,14 @@
             broke: Vec::new(),
         };
         self.out.push(Action::Timer { after: (patience - self.margin).max(0.0) });
-        // A number used again while its query is open: the old one still gets its answer.
         if let Some(mut old) = self.queries.insert(number, q) {
             self.give_up(&old);
             self.drop_parts(&mut old);
         }
     }
 
-    /// How long the client has waited before this try, as far as that shows: a try that may last clearly less
-    /// than is usual for its class is bounded by the class's deadline instead, so the rest has passed.
+    /// How long the client has waited before this try: one that may last clearly less than is usual for its
+    /// class is bounded by the class's deadline instead, so the rest has passed.
     fn waited(&mut self, id: ClassId, class: &Class, patience: f64) -> f64 {
         let usual = self.usual.entry(id).or_insert(patience);
         *usual *= if patience < *usual { 1.0 - USUAL_STEP } else { 1.0 + USUAL_STEP };
@@ -782,8 +785,7 @@
         self.parts.insert(part, new);
     }
 
-    /// The present response time of parts. Without news it decays, so that refusals
-    /// cannot feed on a delay that they keep from being measured again.
+    /// The present response time of parts. Without news it decays: refusals keep it from being measured.
     fn delay_now(&self) -> f64 {
         let silence = self.now - self.pace.served;
         self.pace.delay * 0.5f64.powf(silence / DELAY_HALF)
@@ -840,8 +842,7 @@
         }
     }
 
-    /// Worth of a query for each of its parts; what is over a tenant's share, as far as this co-ordinator's
-    /// part of it goes, counts for less.
+    /// Worth of a query for each of its parts; what is over a tenant's share counts for less.
     fn density(&mut self, number: QueryNumber) -> f64 {
         let (since, Some(q)) = (self.now - RECENT, self.queries.get(&number)) else { return 0.0 };
         let quota = self.s.tenants.get(usize::from(q.tenant.0)).map_or(f64::MAX, |t| t.quota);
@@ -927,8 +928,7 @@
         }
     }
 
-    /// Send what a query still needs: parts not sent yet as far as its class needs them, then another
-    /// attempt, or a spare part, for each that is late.
+    /// Send what a query still needs: parts not sent yet, then another attempt, or a spare, for late ones.
     fn advance(&mut self, query: &Query) {
         let mut order: Vec<(u32, PartId)> = Vec::new();
         let (mut covered, mut late) = (0.0, Vec::new());
@@ -1016,6 +1016,10 @@
         self.rest > now && 2 * self.out.len() >= self.full
     }
 
+    fn cold(&self, now: f64, rule: Option<ColdRule>) -> bool {
+        rule.zip(self.listed.started).is_some_and(|(rule, start)| now - start < rule.ramp)
+    }
+
     fn usable(&self, class: ClassId, now: f64) -> bool {
         let tried = self.whole.trials > 0 || self.classes.get(&class).is_some_and(|b| b.trials > 0);
         self.until(class) <= now && (!tried || self.out.is_empty())
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,13 +29,21 @@
     pub extras: Tally,
     pub sends: Tally,
     pub probes: Tally,
+    /// Parts that warm replicas served.
+    pub borne: Tally,
 }
 
 impl Recent {
     /// Drop what is older than anybody asks for.
     pub fn trim(&mut self, since: f64) {
-        for tally in [&mut self.taken, &mut self.arrived, &mut self.copies, &mut self.extras, &mut self.sends]
-        {
+        for tally in [
+            &mut self.taken,
+            &mut self.arrived,
+            &mut self.copies,
+            &mut self.extras,
+            &mut self.sends,
+            &mut self.borne,
+        ] {
             tally.count(since);
         }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -192,3 +192,32 @@
     let share = world.in_time(lost);
     assert!(share > 0.98, "{share:.2} of the queries were answered in time");
 }
+
+#[test]
+fn cold_data_nodes_get_their_share_of_what_warm_ones_bear_and_no_more() {
+    let mut world = World::new(50, 60);
+    world.run(6.0, 1.0, 24);
+    // Six in ten are replaced at once; the rest bears more than before.
+    let start = world.now;
+    let new = |n: &usize| n % 5 < 3;
+    let entries: Vec<Listed> = (0..60).filter(new).map(|n| listed(n, Some(start))).collect();
+    let event = Event::Members { news: News::Delta, entries };
+    world.all.iter_mut().for_each(|b| drop(b.round(start, std::slice::from_ref(&event))));
+    world.run(4.0, 1.0, 24);
+    let since = start + 1.0;
+    let sent = |n: usize, from: f64, to: f64| {
+        let to = |s: &&(f64, ReplicaId, bool)| s.1 .0 as usize == n && s.0 >= from && s.0 < to;
+        world.sends.iter().filter(to).count() as f64
+    };
+    let mean = |cold: bool| {
+        let all: Vec<f64> =
+            (0..60).filter(|n| new(n) == cold).map(|n| sent(n, since, since + 3.0) / 3.0).collect();
+        all.iter().sum::<f64>() / all.len() as f64
+    };
+    let (cold, warm) = (mean(true), mean(false));
+    // At 2.5 s of 17 it has 27 percent; 0.7 of the told 2.5 times that is 0.48 of what a warm one bears.
+    assert!(cold > 0.2 * warm, "cold {cold:.1}, warm {warm:.1} parts a second");
+    let most = (0..60).filter(new).map(|n| sent(n, since, since + 1.0)).fold(0.0, f64::max);
+    let rule = 2.5 * (0.15 + 0.85 * 1.5 / 17.0) * warm;
+    assert!(most < rule, "{most} parts in a second to a cold one, of {rule:.1} that it stands");
+}
