--- a/src/balance.rs
+++ b/src/balance.rs
@@ -41,12 +41,12 @@
 const PAUSE: f64 = 0.3;
 const PAUSE_LOSS: f64 = 0.25;
 /// Seconds for which queries are suspect after a replica was seen to have died, and the share of the typical
-/// time within which a failed connect tells that: a slow handshake or a lost link takes longer to fail.
+/// time within which a failed connect tells that.
 /// A query of so few parts brings down few replicas and is not held back.
 const SUSPECT: f64 = 20.0;
 const FEW_PARTS: usize = 12;
 const DIED_WITHIN: f64 = 0.25;
-/// Answers in a row, one part at a time, by which an ejected replica is trusted again.
+/// Answers in a row by which an ejected replica is trusted again.
 const TRIALS: u32 = 3;
 /// Share of the told multiple that we use of a cold replica: at 1.0 a hunt came to 91% of the rule's limit.
 const COLD_CAUTION: f64 = 0.7;
@@ -58,8 +58,11 @@
 /// Weight of the newest in admission's response time, and seconds in which that halves unseen.
 const DELAY_GAIN: f64 = 0.1;
 const DELAY_HALF: f64 = 0.5;
-/// A query's slowest part takes about this many times the mean part; two steps take this many times one.
+/// A query's slowest part takes about this many times the mean part, more by so much of the logarithm of its
+/// parts over so many; two steps take this many times one.
 const QUERY_STRETCH: f64 = 2.0;
+const WIDER: f64 = 0.45;
+const WIDE: usize = 24;
 const STEPS_STRETCH: f64 = 1.5;
 /// Step of the running median of a class's patience, and how far under it a try counts as cut short.
 const USUAL_STEP: f64 = 0.01;
@@ -84,7 +87,7 @@
 /// Probes stay under this share of recent parts; seconds between probes of one replica at least.
 const PROBE_SHARE: f64 = 0.1;
 const PROBE_EVERY: f64 = 0.3;
-/// Sums of weights are compared with this slack.
+/// Slack of sums of weights.
 const ROUNDING: f64 = 5e-5;
 /// Seconds before a broken subscription is renewed first; it doubles up to a quarter of the told time.
 const RENEW: f64 = 0.5;
@@ -153,7 +156,6 @@
         })
     }
 
-    /// Further classes, behind those that are there.
     pub fn extend(&mut self, classes: &[Class]) -> Result<(), SettingsError> {
         let mut settings = self.s.clone();
         settings.classes.extend_from_slice(classes);
@@ -244,7 +246,6 @@
         self.replicas.len()
     }
 
-    /// A replica with a new start is a new process.
     fn list(&mut self, entry: &Listed) {
         if entry.phase == Phase::Gone && !self.replicas.contains_key(&entry.replica) {
             return;
@@ -675,7 +676,6 @@
         query.served == 0 && query.parts.len() > FEW_PARTS && self.suspect > self.now
     }
 
-    /// Guards against replicas that take work and answer nothing.
     fn watch_silence(&mut self) {
         let limit = self.now - (SILENT_TAIL * self.pace.tail).max(8.0 * self.s.round);
         let mut found = Vec::new();
@@ -900,7 +900,8 @@
         let due = over || self.now >= query.aim - reserve || hope <= share + ROUNDING;
         let begun = !first || held.iter().any(|p| !p.attempts.is_empty());
         // Not begun, and it cannot be done within its aim as parts go now.
-        let hopeless = !begun && query.aim > self.now && self.now + self.expected(&class) > query.aim;
+        let wide = 1.0 + WIDER * (held.len().max(WIDE) as f64 / WIDE as f64).ln();
+        let hopeless = !begun && query.aim > self.now && self.now + wide * self.expected(&class) > query.aim;
         let streams = held.iter().any(|p| p.over && p.out());
         let worthless = first && self.now > query.aim && class.late_worth <= 0.0 && !streams;
         if whole || (floor < need && share >= floor - ROUNDING && share > 0.0 && due) {
@@ -928,7 +929,7 @@
         }
     }
 
-    /// Send what a query still needs: parts not sent yet, then another attempt, or a spare, for late ones.
+    /// Send parts not sent yet, then another attempt, or a spare, for late ones.
     fn advance(&mut self, query: &Query) {
         let mut order: Vec<(u32, PartId)> = Vec::new();
         let (mut covered, mut late) = (0.0, Vec::new());
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -744,3 +744,20 @@
     assert_eq!(sends(&actions), []);
     assert_eq!(sends(&rig.wait(0.04)), [ReplicaId(0)], "tried before, but not the dead one");
 }
+
+#[test]
+fn a_query_of_a_hundred_parts_is_refused_where_one_of_a_few_would_still_be_in_time() {
+    let wide = |parts: u32| {
+        let mut rig = Rig::new(Settings { second_copies: false, ..settings() }, 8);
+        rig.query(40);
+        rig.wait(0.34);
+        while !rig.out.is_empty() {
+            rig.end(0, Outcome::Served, None);
+        }
+        let actions = rig.query(parts);
+        actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    };
+    // The mean part takes a third of the aim, the slowest of a hundred more than all of it.
+    assert!(!wide(12) && !wide(24));
+    assert!(wide(100));
+}
