--- a/src/balance.rs
+++ b/src/balance.rs
@@ -41,12 +41,12 @@
 const PAUSE: f64 = 0.3;
 const PAUSE_LOSS: f64 = 0.25;
 /// Seconds for which queries are suspect after a replica was seen to have died, and the share of the typical
-/// time within which a failed connect tells that.
+/// time within which a failed connect tells that: a slow handshake or a lost link takes longer to fail.
 /// A query of so few parts brings down few replicas and is not held back.
 const SUSPECT: f64 = 20.0;
 const FEW_PARTS: usize = 12;
 const DIED_WITHIN: f64 = 0.25;
-/// Answers in a row by which an ejected replica is trusted again.
+/// Answers in a row, one part at a time, by which an ejected replica is trusted again.
 const TRIALS: u32 = 3;
 /// Share of the told multiple that we use of a cold replica: at 1.0 a hunt came to 91% of the rule's limit.
 const COLD_CAUTION: f64 = 0.7;
@@ -80,7 +80,7 @@
 /// Weight of the newest response time of a replica in its usual one, and seconds in which that half fades.
 const TOOK_GAIN: f64 = 0.3;
 const TOOK_HALF: f64 = 2.0;
-/// Seconds after which a replica that is gone is forgotten.
+/// Seconds after which a replica that is gone is forgotten: longer than any attempt is out.
 const FORGET: f64 = 30.0;
 /// Seconds that a full or unreachable replica is left alone.
 const FULL_REST: f64 = 0.2;
@@ -102,7 +102,8 @@
     replicas: BTreeMap<ReplicaId, Replica>,
     /// Replicas by cell, so that a draw does not look at the whole fleet.
     cells: BTreeMap<u32, BTreeSet<ReplicaId>>,
-    /// How many are ready, and the mean of the queues that they reported lately, as this round begins.
+    /// How many are ready, how many of these are warm, and the mean of the queues that they reported lately,
+    /// as this round begins.
     ready: f64,
     warm: f64,
     average: f64,
@@ -156,6 +157,7 @@
         })
     }
 
+    /// Further classes, behind those that are there.
     pub fn extend(&mut self, classes: &[Class]) -> Result<(), SettingsError> {
         let mut settings = self.s.clone();
         settings.classes.extend_from_slice(classes);
@@ -172,11 +174,12 @@
         for event in events {
             self.event(event);
         }
+        // Guards against growth: these are added to with each part, but looked at on some days only.
         let window = self.s.budget.unwrap_or(OWN_BUDGET).window.max(RECENT) + 2.0 * self.s.round;
         self.recent.trim(self.now - window);
         let known: Vec<f64> = self.replicas.values().filter_map(|r| self.reported(r)).collect();
         self.average = known.iter().sum::<f64>() / known.len().max(1) as f64;
-        let warm = |r: &&Replica| r.listed.phase == Phase::Ready && !r.cold(now, self.s.cold);
+        let warm = |r: &&Replica| r.listed.phase == Phase::Ready && r.cold_since(now, self.s.cold).is_none();
         self.warm = self.replicas.values().filter(warm).count().max(1) as f64;
         self.subscribe();
         self.watch_silence();
@@ -208,7 +211,7 @@
 
     // Membership.
 
-    /// A drain or a loss acts at once. A full list drops what it lacks.
+    /// A drain or a loss acts at once: only `Ready` replicas are drawn. A full list drops what it lacks.
     fn members(&mut self, news: News, entries: &[Listed]) {
         match news {
             News::Failed => {
@@ -230,6 +233,7 @@
         self.forget();
     }
 
+    /// Guards a long run, in which replicas are replaced for good, against growing.
     fn forget(&mut self) {
         let now = self.now;
         let (replicas, cells) = (&mut self.replicas, &mut self.cells);
@@ -242,10 +246,12 @@
         });
     }
 
+    /// Replicas that are remembered.
     pub fn known(&self) -> usize {
         self.replicas.len()
     }
 
+    /// A replica with a new start is a new process: what was held against the old one is dropped.
     fn list(&mut self, entry: &Listed) {
         if entry.phase == Phase::Gone && !self.replicas.contains_key(&entry.replica) {
             return;
@@ -380,7 +386,7 @@
     }
 
     /// The cap on attempts beyond a part's first: the told budget, or our own where none is told, so that
-    /// retries and hedges cannot feed an overload. Our own spares retries of parts that failed.
+    /// retries and hedges cannot feed an overload. Our own leaves out retries of parts that failed.
     fn may_add(&mut self, why: Why) -> bool {
         let budget = self.s.budget.unwrap_or(OWN_BUDGET);
         let edge = 2.0 * self.s.round;
@@ -403,7 +409,7 @@
         }
         for (part, n) in r.out.keys().copied().collect::<Vec<_>>() {
             let Some(p) = self.parts.get_mut(&part) else { continue };
-            let twin_out = p.attempts.iter().any(|a| !a.copy && a.state == State::Out && !a.cancelled);
+            let twin_out = p.attempts.iter().any(|a| !a.copy && a.ended.is_none() && !a.cancelled);
             if let Some(a) = p.attempts.get_mut(usize::from(n)).filter(|a| a.copy && !a.cancelled && twin_out)
             {
                 a.cancelled = true;
@@ -419,14 +425,7 @@
         let (Some(p), Some(r)) = (self.parts.get_mut(&part), self.replicas.get_mut(&replica)) else { return };
         let n = p.attempts.len() as u8;
         let copy = why == Some(Why::Copy);
-        p.attempts.push(Attempt {
-            replica,
-            sent: self.now,
-            state: State::Out,
-            copy,
-            cancelled: false,
-            failed: false,
-        });
+        p.attempts.push(Attempt { replica, sent: self.now, copy, cancelled: false, ended: None });
         let mut paused = r.out.is_empty() && r.used > 0.0 && self.now - r.used > PAUSE;
         if paused && reaped {
             self.out.push(Action::CloseIdle { replica });
@@ -464,9 +463,9 @@
 
     /// Whether what this part's attempts may have done allows another one.
     fn may_repeat(&self, class: &Class, part: &Part) -> bool {
-        let ran = part.attempts.iter().filter(|a| a.state != State::NeverRan).map(|a| a.sent);
+        let ran = part.attempts.iter().filter(|a| !a.never_ran()).map(|a| a.sent);
         let first = ran.fold(f64::INFINITY, f64::min);
-        let out = part.attempts.iter().any(|a| a.state == State::Out);
+        let out = part.attempts.iter().any(|a| a.ended.is_none());
         let allowed = match class.effect {
             Effect::Safe => true,
             Effect::Keyed { window } => self.now < first + window - END_MARGIN,
@@ -478,10 +477,12 @@
 
     /// Late: nothing out any more, or all that is out has been for long or sits on a suspect replica.
     fn late(&self, part: &Part) -> Option<Why> {
-        let mut out = part.attempts.iter().filter(|a| a.state == State::Out && !a.cancelled);
+        let mut out = part.attempts.iter().filter(|a| a.ended.is_none() && !a.cancelled);
         if part.served || !part.out() {
-            // Guards against waiting for a budget of ours: when a room is lost, more parts need a retry.
-            let failed = self.s.budget.is_none() && part.attempts.last().is_some_and(|a| a.failed);
+            // Guards against waiting for a budget of ours until the client's time is up: when a room is lost,
+            // more parts need another attempt than it holds. Four a part bound them still.
+            let failed = self.s.budget.is_none()
+                && part.attempts.last().is_some_and(|a| a.ended.is_some_and(Outcome::failed));
             return (!part.served).then_some(if failed { Why::Failed } else { Why::Retry });
         }
         let hedge_after = HEDGE_TAIL * self.pace.tail;
@@ -496,7 +497,7 @@
     /// Another attempt beside at most one that is out, elsewhere if there is an elsewhere.
     fn again(&mut self, class: &Class, id: PartId, why: Why) {
         let Some(part) = self.parts.get(&id) else { return };
-        let out = part.attempts.iter().filter(|a| a.state == State::Out && !a.cancelled);
+        let out = part.attempts.iter().filter(|a| a.ended.is_none() && !a.cancelled);
         let busy: Vec<_> = out.map(|a| a.replica).collect();
         let crowded = busy.len() >= 2;
         let (in_class, shard) = (part.class, part.shard);
@@ -529,14 +530,10 @@
         }
         let Some(p) = self.parts.get_mut(part) else { return };
         p.over |= *over;
-        let Some(a) = p.attempts.get_mut(usize::from(*attempt)).filter(|a| a.state == State::Out) else {
+        let Some(a) = p.attempts.get_mut(usize::from(*attempt)).filter(|a| a.ended.is_none()) else {
             return;
         };
-        a.state = match outcome {
-            Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent => State::NeverRan,
-            _ => State::MayHaveRun,
-        };
-        a.failed = outcome.failed();
+        a.ended = Some(*outcome);
         if *outcome == Outcome::Served {
             p.served = true;
             self.cancel_part(*part);
@@ -565,7 +562,7 @@
     fn cancel_others(&mut self, id: PartId, kept: Option<u8>) {
         let Some(part) = self.parts.get_mut(&id) else { return };
         for (n, a) in part.attempts.iter_mut().enumerate() {
-            if a.state == State::Out && !a.cancelled && kept != Some(n as u8) {
+            if a.ended.is_none() && !a.cancelled && kept != Some(n as u8) {
                 a.cancelled = true;
                 self.out.push(Action::Cancel { part: id, attempt: n as u8 });
             }
@@ -601,7 +598,7 @@
             Outcome::TurnedAway => (r.rest, r.full) = (now + FULL_REST, r.out.len()),
             Outcome::Served => {
                 self.unanswered[usize::from(flight.paused)] *= 1.0 - GAIN;
-                if !r.cold(now, self.s.cold) {
+                if r.cold_since(now, self.s.cold).is_none() {
                     self.recent.borne.add(now);
                 }
                 r.whole.served(self.now, flight.sent);
@@ -612,7 +609,8 @@
                     self.suspect = self.now + SUSPECT;
                 }
                 r.used = 0.0;
-                // Guards a part's few attempts: they would all be spent here while the others rest.
+                // Guards a part's few attempts: where the others rest it alone is left, and they would all be
+                // spent on it within a millisecond.
                 if outcome == Outcome::NoConnection {
                     (r.rest, r.full) = (now + FULL_REST, 0);
                 }
@@ -661,7 +659,8 @@
         }
     }
 
-    /// Guards against queries that bring down whatever begins their parts: no retry goes to a third replica.
+    /// Guards against queries that bring down whatever begins their parts: several replicas break while they
+    /// hold parts of one query and hardly any serves it. It ends there: no retry takes it to a third replica.
     fn testify(&mut self, part: PartId, replica: ReplicaId, outcome: Outcome) {
         let number = self.parts.get(&part).map(|p| p.number);
         let Some(q) = number.and_then(|n| self.queries.get_mut(&n)) else { return };
@@ -671,11 +670,13 @@
         }
     }
 
-    /// Seen deaths make queries of many parts suspect: each tries one part first, and may break one replica.
+    /// Seen deaths make queries of many parts suspect, whoever sent them: each tries one part first, so sound
+    /// ones are served and a deadly one breaks one replica only. May hurt by the time of one part.
     fn on_probation(&self, query: &Query) -> bool {
         query.served == 0 && query.parts.len() > FEW_PARTS && self.suspect > self.now
     }
 
+    /// Guards against replicas that take work and answer nothing, whatever keeps them silent.
     fn watch_silence(&mut self) {
         let limit = self.now - (SILENT_TAIL * self.pace.tail).max(8.0 * self.s.round);
         let mut found = Vec::new();
@@ -699,7 +700,7 @@
     fn cold_room(&mut self, id: ReplicaId) -> bool {
         let (Some(rule), now) = (self.s.cold, self.now) else { return true };
         let Some(r) = self.replicas.get_mut(&id) else { return false };
-        let Some(start) = r.listed.started.filter(|t| now - t < rule.ramp) else {
+        let Some(start) = r.cold_since(now, self.s.cold) else {
             r.sent.count(now - rule.after);
             return true;
         };
@@ -760,6 +761,7 @@
             broke: Vec::new(),
         };
         self.out.push(Action::Timer { after: (patience - self.margin).max(0.0) });
+        // A number used again while its query is open: the old one still gets its answer.
         if let Some(mut old) = self.queries.insert(number, q) {
             self.give_up(&old);
             self.drop_parts(&mut old);
@@ -785,7 +787,8 @@
         self.parts.insert(part, new);
     }
 
-    /// The present response time of parts. Without news it decays: refusals keep it from being measured.
+    /// The present response time of parts. Without news it decays, so that refusals
+    /// cannot feed on a delay that they keep from being measured again.
     fn delay_now(&self) -> f64 {
         let silence = self.now - self.pace.served;
         self.pace.delay * 0.5f64.powf(silence / DELAY_HALF)
@@ -842,7 +845,8 @@
         }
     }
 
-    /// Worth of a query for each of its parts; what is over a tenant's share counts for less.
+    /// Worth of a query for each of its parts; what is over a tenant's share, as far as this co-ordinator's
+    /// part of it goes, counts for less.
     fn density(&mut self, number: QueryNumber) -> f64 {
         let (since, Some(q)) = (self.now - RECENT, self.queries.get(&number)) else { return 0.0 };
         let quota = self.s.tenants.get(usize::from(q.tenant.0)).map_or(f64::MAX, |t| t.quota);
@@ -921,7 +925,7 @@
     /// The final answer of a query that brings nothing: refused where trying again is harmless.
     fn give_up(&mut self, query: &Query) {
         let attempts = query.parts.iter().filter_map(|id| self.parts.get(id)).flat_map(|p| &p.attempts);
-        let ran = query.first.is_some() || { attempts }.any(|a| a.state != State::NeverRan);
+        let ran = query.first.is_some() || { attempts }.any(|a| !a.never_ran());
         if query.class.effect == Effect::Safe || !ran {
             self.out.push(Action::Refuse { query: query.id, retry_after: self.s.retry_after });
         } else {
@@ -929,7 +933,8 @@
         }
     }
 
-    /// Send parts not sent yet, then another attempt, or a spare, for late ones.
+    /// Send what a query still needs: parts not sent yet as far as its class needs them, then another
+    /// attempt, or a spare part, for each that is late.
     fn advance(&mut self, query: &Query) {
         let mut order: Vec<(u32, PartId)> = Vec::new();
         let (mut covered, mut late) = (0.0, Vec::new());
@@ -1005,22 +1010,11 @@
 }
 
 impl Replica {
-    fn leave(&mut self, phase: Phase, now: f64) {
-        if self.listed.phase != Phase::Gone {
-            self.gone = now;
-        }
-        self.listed.phase = phase;
-    }
-
     /// Left alone: it is full, until half of what it held of ours is answered, or it could not be reached.
     fn rests(&self, now: f64) -> bool {
         self.rest > now && 2 * self.out.len() >= self.full
     }
 
-    fn cold(&self, now: f64, rule: Option<ColdRule>) -> bool {
-        rule.zip(self.listed.started).is_some_and(|(rule, start)| now - start < rule.ramp)
-    }
-
     fn usable(&self, class: ClassId, now: f64) -> bool {
         let tried = self.whole.trials > 0 || self.classes.get(&class).is_some_and(|b| b.trials > 0);
         self.until(class) <= now && (!tried || self.out.is_empty())
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,21 +60,20 @@
     pub eased: f64,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-pub enum State {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
 pub struct Attempt {
     pub replica: ReplicaId,
     pub sent: f64,
-    pub state: State,
     pub copy: bool,
     pub cancelled: bool,
-    /// It was told to have failed, neither turned away nor left without an answer.
-    pub failed: bool,
+    /// How it ended; `None` while it is out.
+    pub ended: Option<Outcome>,
+}
+
+impl Attempt {
+    /// Proved not to have run.
+    pub fn never_ran(&self) -> bool {
+        matches!(self.ended, Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent))
+    }
 }
 
 pub struct Part {
@@ -153,11 +152,24 @@
 impl Part {
     /// Whether an attempt is out that may still bring its answer.
     pub fn out(&self) -> bool {
-        self.attempts.iter().any(|a| a.state == State::Out && !a.cancelled)
+        self.attempts.iter().any(|a| a.ended.is_none() && !a.cancelled)
     }
 }
 
 impl Replica {
+    /// Note its state; since when it is gone, if it now is.
+    pub fn leave(&mut self, phase: Phase, now: f64) {
+        if self.listed.phase != Phase::Gone {
+            self.gone = now;
+        }
+        self.listed.phase = phase;
+    }
+
+    /// When it started, if it may still be cold: within the ramp that the rule tells.
+    pub fn cold_since(&self, now: f64, rule: Option<ColdRule>) -> Option<f64> {
+        self.listed.started.filter(|start| rule.is_some_and(|rule| now - start < rule.ramp))
+    }
+
     /// Until when it is out of the draw for a class.
     pub fn until(&self, class: ClassId) -> f64 {
         self.whole.until.max(self.classes.get(&class).map_or(0.0, |b| b.until))
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,24 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
+use marlgap::interface::{Class, Effect};
+
+/// A class of a single step that needs all its parts, each safe to repeat.
+pub fn class() -> Class {
+    Class {
+        aim: 1.0,
+        deadline: 4.0,
+        worth: 1.0,
+        late_worth: 0.3,
+        effect: Effect::Safe,
+        need: 1.0,
+        floor: 1.0,
+        partial: 0.9,
+        second_step: 0,
+        copies: true,
+    }
+}
+
 /// Nothing here takes this long; a test that waits for more has failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,20 +4,8 @@
 use marlgap::interface::*;
 use marlgap::Balancer;
 
-fn class() -> Class {
-    Class {
-        aim: 1.0,
-        deadline: 4.0,
-        worth: 1.0,
-        late_worth: 0.3,
-        effect: Effect::Safe,
-        need: 1.0,
-        floor: 1.0,
-        partial: 0.9,
-        second_step: 0,
-        copies: true,
-    }
-}
+mod common;
+use common::class;
 
 fn settings() -> Settings {
     Settings { classes: vec![class()], reports: Reports::Inline, most_tries: 4, ..Settings::default() }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,6 +7,8 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+mod common;
+
 /// Seconds between rounds.
 const STEP: f64 = 0.005;
 const ZONES: u64 = 3;
@@ -36,19 +38,9 @@
     sends: Vec<(f64, ReplicaId, bool)>,
 }
 
+/// As on the bench's days at size.
 fn class() -> Class {
-    Class {
-        aim: 0.5,
-        deadline: 1.3,
-        worth: 1.0,
-        late_worth: 0.3,
-        effect: Effect::Safe,
-        need: 1.0,
-        floor: 1.0,
-        partial: 0.9,
-        second_step: 0,
-        copies: true,
-    }
+    Class { aim: 0.5, deadline: 1.3, ..common::class() }
 }
 
 fn told(coordinators: usize, nodes: usize) -> Settings {
@@ -182,7 +174,7 @@
 }
 
 #[test]
-fn parts_of_a_lost_room_are_tried_elsewhere_though_they_are_many() {
+fn failed_parts_are_tried_again_at_once_though_they_are_many() {
     let mut world = World::new(20, 60);
     world.run(5.0, 0.5, 100);
     // A third of the data nodes fails at once: more parts need another attempt than a fifth.
@@ -215,7 +207,8 @@
         all.iter().sum::<f64>() / all.len() as f64
     };
     let (cold, warm) = (mean(true), mean(false));
-    // At 2.5 s of 17 it has 27 percent; 0.7 of the told 2.5 times that is 0.48 of what a warm one bears.
+    // At 2.5 s of 17 it has 27 percent, and 0.7 of the told 2.5 times that is allowed: 0.48 of what a warm one
+    // bears at most, 0.28 as parts are drawn. By the fleet's average it was 0.14.
     assert!(cold > 0.2 * warm, "cold {cold:.1}, warm {warm:.1} parts a second");
     let most = (0..60).filter(new).map(|n| sent(n, since, since + 1.0)).fold(0.0, f64::max);
     let rule = 2.5 * (0.15 + 0.85 * 1.5 / 17.0) * warm;
