--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -317,7 +317,7 @@
     rig.now += 0.001;
     assert!(sends(&rig.end(0, Outcome::TurnedAway, None)).is_empty());
     assert!(sends(&rig.wait(0.1)).is_empty());
-    assert_eq!(sends(&rig.wait(0.045)).len(), 1);
+    assert_eq!(sends(&rig.wait(0.3)).len(), 1);
 }
 
 #[test]
