Share descriptors by need, and close the longest idle connection where none is left

Cause: on the full fleet (200 data nodes, 512 descriptors) main.rs kept a quarter for data nodes, 120, and Nodes::connection ended every part for a data node without a connection as NotSent once these were open; each such end spends one of the part's four attempts. Checked: data nodes refused no connection ('conn 0'), clients held 5 descriptors a coordinator. Change: Descriptors (src/net/descriptors.rs) shares them by need, half at most for data nodes; Nodes::open closes the longest idle connection where there is no room.

--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,7 @@
 use marlgap::core::{Core, Transport};
 use marlgap::interface::News;
 use marlgap::net::clients::{self, Acceptor, Closing};
+use marlgap::net::descriptors::Descriptors;
 use marlgap::net::discovery::Discovery;
 use marlgap::net::front::Front;
 use marlgap::net::nodes::Nodes;
@@ -75,16 +76,19 @@
     let fronts = usize::from(config.platform.is_some())
         + usize::from(query_api.is_some())
         + usize::from(grpc.is_some());
-    // A quarter for what is behind, where connections carry many parts each, the rest for clients, of each front.
     let all = config.sockets.saturating_sub(RESERVED).max(16) / fronts.max(1);
-    let (descriptors, room) = (all / 4, all - all / 4);
-    let acceptor = || Acceptor::new(executor.clone(), closing.clone(), room, log.clone());
+    let acceptor = |descriptors: Rc<Descriptors>| {
+        Acceptor::new(executor.clone(), closing.clone(), descriptors, log.clone())
+    };
+    // The fronts of the operator's file keep theirs by themselves: the share that is always there for them.
+    let apart = Descriptors::new(all);
     let mut accepted = Vec::new();
     let (moved, moves) = async_channel::unbounded();
 
     if let Some(platform) = config.platform {
         let told = Rc::new(platform.told.clone());
-        let nodes = Nodes::new((*told).clone(), descriptors, executor.clone(), log.clone());
+        let descriptors = Rc::new(Descriptors::new(all));
+        let nodes = Nodes::new((*told).clone(), descriptors.clone(), executor.clone(), log.clone());
         let settings = told.settings.clone();
         let core = Core::new(settings, config.seed, told.max_open, executor.clone(), nodes.clone())
             .map_err(ConfigError::Settings)?;
@@ -102,7 +106,7 @@
         let (open, said) = Default::default();
         let (core_of, closing_of) = (core.clone(), closing.clone());
         let front = Rc::new(Front { core: core_of, told, closing: closing_of, open, log: log.clone(), said });
-        let acceptor = acceptor();
+        let acceptor = acceptor(descriptors);
         let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
         accepted.push((acceptor, executor.spawn(accept)));
         executor.spawn(core.clone().run()).detach();
@@ -112,12 +116,12 @@
 
     if let Some(setup) = query_api {
         let address = setup.listen;
-        let front = opensearch::start(setup, config.seed, descriptors, &executor, &closing, &log)
+        let front = opensearch::start(setup, config.seed, apart.kept(), &executor, &closing, &log)
             .map_err(ConfigError::Start)?;
         let listener = listen(address)?;
         info!(log, "query API listening"; "address" => %listener.get_ref().local_addr().unwrap_or(address));
         executor.spawn(count(front.core.clone(), "query API", log.clone())).detach();
-        let acceptor = acceptor();
+        let acceptor = acceptor(Rc::new(Descriptors::new(all)));
         let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
         accepted.push((acceptor, executor.spawn(accept)));
     }
@@ -125,13 +129,13 @@
     let mut routed = None;
     if let Some(setup) = grpc {
         let address = setup.listen;
-        let front = grpc::start(setup, config.seed, descriptors, &executor, &closing, &log)
+        let front = grpc::start(setup, config.seed, apart.kept(), &executor, &closing, &log)
             .map_err(ConfigError::Start)?;
         routed = Some(front.clone());
         let listener = listen(address)?;
         info!(log, "gRPC listening"; "address" => %listener.get_ref().local_addr().unwrap_or(address));
         executor.spawn(count(front.core.clone(), "gRPC", log.clone())).detach();
-        let acceptor = acceptor();
+        let acceptor = acceptor(Rc::new(Descriptors::new(all)));
         let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
         accepted.push((acceptor, executor.spawn(accept)));
     }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -14,6 +14,7 @@
 use slog::{warn, Logger};
 
 use super::buffer::Buffer;
+use super::descriptors::Descriptors;
 use super::http::{self, Answer, HttpError, Kind, Message};
 use super::{by, Ration};
 
@@ -123,7 +124,7 @@
     closing: Rc<Closing>,
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
     pub freed: Wake,
-    most: usize,
+    descriptors: Rc<Descriptors>,
     /// Three quarters of the room are taken.
     crowded: Rc<Cell<bool>>,
     log: Logger,
@@ -134,11 +135,11 @@
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         closing: Rc<Closing>,
-        most: usize,
+        descriptors: Rc<Descriptors>,
         log: Logger,
     ) -> Rc<Self> {
         let (seats, freed, crowded, said) = Default::default();
-        Rc::new(Acceptor { executor, closing, seats, freed, most, crowded, log, said })
+        Rc::new(Acceptor { executor, closing, seats, freed, descriptors, crowded, log, said })
     }
 
     /// Connections that are being served.
@@ -147,13 +148,14 @@
     }
 
     fn count(&self) {
-        self.crowded.set(4 * self.held() >= 3 * self.most);
+        self.descriptors.hold(self.held());
+        self.crowded.set(4 * self.held() >= 3 * self.descriptors.most_clients());
     }
 
     /// Wait for room, and make it. Guards against clients that keep their connections and ask no more, or
     /// connect and say nothing: were they left to hold all there is, nobody else would be served.
     async fn room(&self) {
-        while self.held() >= self.most && !self.closing.idle.get() {
+        while self.held() >= self.descriptors.most_clients() && !self.closing.idle.get() {
             let (freed, now) = (self.freed.listen(), Instant::now());
             let longest = {
                 let seats = self.seats.borrow();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Everything that touches a socket.
 pub mod buffer;
 pub mod clients;
+pub mod descriptors;
 pub mod discovery;
 pub mod frames;
 pub mod front;
--- a/src/net/nodes/connection.rs
+++ b/src/net/nodes/connection.rs
@@ -57,6 +57,8 @@
     /// Closed for that: its data node may be sound.
     pub silent: Cell<bool>,
     pub used: Cell<Instant>,
+    /// Its descriptor is still counted as taken.
+    pub counted: Cell<bool>,
 }
 
 impl Connection {
@@ -72,6 +74,7 @@
             owes: Cell::new(None),
             silent: Cell::new(false),
             used: Cell::new(Instant::now()),
+            counted: Cell::new(true),
         }
     }
 
--- a/src/net/nodes/exchange.rs
+++ b/src/net/nodes/exchange.rs
@@ -61,7 +61,7 @@
                 let (known, silent) = (connection.closed.get(), connection.silent.get());
                 let [unsent, lost] = connection.end(unwritten);
                 drop(stream);
-                self.room.set(self.room.get() + 1);
+                self.let_go(&connection);
                 if !unsent.is_empty() || !lost.is_empty() {
                     let lives = silent || (!known && self.lives(replica).await);
                     ended(&unsent, if lives { Outcome::NotSent } else { Outcome::NoConnection });
@@ -74,7 +74,14 @@
         }
         let [unsent, _] = connection.end(Vec::new());
         ended(&unsent, Outcome::NoConnection);
-        self.room.set(self.room.get() + 1);
+        self.let_go(&connection);
+    }
+
+    /// Its descriptor is free, unless it was closed to make way for another and has been counted out before.
+    fn let_go(&self, connection: &Connection) {
+        if connection.counted.replace(false) {
+            self.descriptors.give_back();
+        }
     }
 
     /// Write what is queued. Ends with the parts whose frame could not be written whole.
--- a/src/net/nodes/mod.rs
+++ b/src/net/nodes/mod.rs
@@ -13,6 +13,7 @@
 use slog::Logger;
 
 use super::by;
+use super::descriptors::Descriptors;
 use super::Ration;
 use crate::core::{Call, Ended, Step, Stop, Transport};
 use crate::interface::*;
@@ -114,14 +115,18 @@
     executor: Rc<LocalExecutor<'static>>,
     log: Logger,
     said: Ration,
-    /// Descriptors that connections to data nodes may still take.
-    room: Cell<usize>,
+    descriptors: Rc<Descriptors>,
 }
 
 impl Nodes {
-    pub fn new(told: Deployment, room: usize, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Rc<Self> {
+    pub fn new(
+        told: Deployment,
+        descriptors: Rc<Descriptors>,
+        executor: Rc<LocalExecutor<'static>>,
+        log: Logger,
+    ) -> Rc<Self> {
         let (nodes, names, last, said) = Default::default();
-        Rc::new(Nodes { nodes, names, last, told, executor, log, said, room: Cell::new(room) })
+        Rc::new(Nodes { nodes, names, last, told, executor, log, said, descriptors })
     }
 
     /// The number under which a data node is known to the module; the same for as long as it is known.
@@ -196,21 +201,30 @@
         let least = node.connections.iter().min_by_key(order).cloned();
         let good = |c: &Rc<Connection>| !c.quiet(now, QUIET) && c.load() < self.told.sockets.streams;
         let free = least.as_ref().is_some_and(good);
-        if free || (least.is_some() && (node.connections.len() >= MOST_CONNECTIONS || self.room.get() == 0)) {
-            return least.map(|c| (c, node.life));
-        }
         let life = node.life;
-        Some((self.open(replica, node)?, life))
+        if free || (least.is_some() && node.connections.len() >= MOST_CONNECTIONS) {
+            return least.map(|c| (c, life));
+        }
+        self.open(&mut nodes, replica).or(least).map(|c| (c, life))
     }
 
-    /// A new connection, if there is room for one more.
-    fn open(self: &Rc<Self>, replica: ReplicaId, node: &mut Node) -> Option<Rc<Connection>> {
-        if self.room.get() == 0 {
-            return None;
+    /// A new connection. Where there is no room for one more, the longest idle one makes way, of whichever data
+    /// node. Guards a fleet of more data nodes than there is room for: those met last would get no part at all.
+    fn open(
+        self: &Rc<Self>,
+        nodes: &mut BTreeMap<ReplicaId, Node>,
+        replica: ReplicaId,
+    ) -> Option<Rc<Connection>> {
+        if !self.descriptors.take() {
+            let open = nodes.values().flat_map(|n| &n.connections).filter(|c| c.idle() && !c.closed.get());
+            let longest = open.min_by_key(|c| c.used.get())?;
+            longest.close();
+            // Its place goes to the new one.
+            longest.counted.set(false);
         }
+        let node = nodes.get_mut(&replica)?;
         let connection = Rc::new(Connection::new());
         node.connections.push(connection.clone());
-        self.room.set(self.room.get() - 1);
         let life = self.clone().serve(replica, node.address, connection.clone());
         self.executor.spawn(life).detach();
         Some(connection)
@@ -225,7 +239,7 @@
             let mut nodes = self.nodes.borrow_mut();
             let Some(node) = nodes.get_mut(&replica).filter(|n| n.phase == Phase::Ready) else { return true };
             node.connections.retain(|c| !c.closed.get());
-            self.open(replica, node)
+            self.open(&mut nodes, replica)
         };
         let Some(fresh) = fresh else { return false };
         by(latest, fresh.wait(|| fresh.up.get() || fresh.closed.get())).await;
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -11,6 +11,7 @@
 use common::*;
 use marlgap::core::{Call, Clock, Step, Stop, Transport};
 use marlgap::interface::{Outcome, Phase, ReplicaId, ShardId};
+use marlgap::net::descriptors::Descriptors;
 use marlgap::net::frames::{self, FrameError};
 use marlgap::net::http::{self, HttpError, Kind};
 use marlgap::net::nodes::{Carried, Entry, Nodes};
@@ -25,6 +26,11 @@
     marlgap::settings::parse(config["settings"].to_string().as_bytes()).expect("settings")
 }
 
+/// Descriptors of which so many are for connections to data nodes.
+fn room(connections: usize) -> Rc<Descriptors> {
+    Rc::new(Descriptors::new(2 * connections))
+}
+
 /// Two parts on one connection to a data node that does as told; how they ended.
 fn two_parts(node: impl FnOnce(TcpListener, TcpStream) + Send + 'static) -> (Outcome, Outcome) {
     // An address of its own: a port that this test gives back must not be another's next one.
@@ -34,7 +40,7 @@
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let nodes = Nodes::new(told(address), 8, executor.clone(), log);
+    let nodes = Nodes::new(told(address), room(8), executor.clone(), log);
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -62,7 +68,8 @@
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
     // One connection, of 32 places.
-    let nodes = Nodes::new(told(address), 1, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes =
+        Nodes::new(told(address), room(1), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -131,7 +138,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
-    let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes =
+        Nodes::new(told(address), room(8), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -162,13 +170,57 @@
     assert!(next.as_ref().is_some_and(|f| f.starts_with("q a1.3 ")), "{next:?}");
 }
 
+/// Guards a fleet of more data nodes than there is room for connections: those met last got no part at all.
+#[test]
+fn the_longest_idle_connection_makes_way_for_one_to_another_data_node() {
+    let executor = Rc::new(LocalExecutor::new());
+    let listeners: Vec<_> = (0..12).map(|_| TcpListener::bind("127.0.0.1:0").expect("bound")).collect();
+    let addresses: Vec<_> = listeners.iter().map(|l| l.local_addr().expect("bound")).collect();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let nodes = Nodes::new(told(addresses[0]), room(4), executor.clone(), log);
+    let stands = listeners.into_iter().map(|listener| {
+        std::thread::spawn(move || {
+            let mut stream = listener.accept().expect("accepted").0;
+            while read_frame(&mut stream).is_some() {
+                stream.write_all(&frame("a a1.0 served 1 -\nV")).expect("written");
+            }
+        })
+    });
+    let stands: Vec<_> = stands.collect();
+    for (n, address) in addresses.iter().enumerate() {
+        let entry = Entry { name: format!("n{n}"), address: *address, phase: Phase::Ready, born: 0 };
+        let replica = nodes.list(&entry);
+        let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
+        let call = Call::alone(replica, carried, ShardId(0), Step::First, Instant::now() + PATIENCE);
+        let (_hold, stop) = Stop::new();
+        let ended = async_io::block_on(executor.run(nodes.clone().call(call, stop)));
+        assert_eq!(ended.outcome, Outcome::Served, "data node {n}");
+    }
+    // All but the last four were closed: their stand-ins have seen the end.
+    stands.into_iter().take(8).for_each(|s| s.join().expect("ran"));
+}
+
+/// Guards the clients' room: connections to data nodes never take it, and take what clients leave.
+#[test]
+fn each_side_has_descriptors_that_the_other_cannot_take() {
+    let shared = Descriptors::new(16);
+    assert_eq!(shared.most_clients(), 12);
+    assert_eq!((0..16).filter(|_| shared.take()).count(), 8, "half, while clients hold few");
+    assert_eq!(shared.most_clients(), 8);
+    (0..8).for_each(|_| shared.give_back());
+    shared.hold(12);
+    assert_eq!((0..16).filter(|_| shared.take()).count(), 4, "a quarter, when clients hold all the rest");
+    assert_eq!(shared.most_clients(), 12);
+}
+
 /// Guards against parts that wait unread at a data node: given-up ones hold their places until they are answered.
 #[test]
 fn given_up_parts_hold_their_places_on_a_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
-    let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes =
+        Nodes::new(told(address), room(8), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -203,7 +255,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
-    let nodes = Nodes::new(told(address), 8, executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes =
+        Nodes::new(told(address), room(8), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let ask = |shard, wait| {
@@ -259,7 +312,7 @@
 fn data_nodes_long_gone_are_forgotten_and_their_numbers_never_given_again() {
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let nodes = Nodes::new(told(address), 8, Rc::new(LocalExecutor::new()), log);
+    let nodes = Nodes::new(told(address), room(8), Rc::new(LocalExecutor::new()), log);
     let list = |n: u32, phase| nodes.list(&Entry { name: format!("n{n}"), address, phase, born: 0 });
     let first: Vec<_> = (0..3).map(|n| list(n, Phase::Ready)).collect();
     nodes.keep_only(&first[1..]);
@@ -282,7 +335,7 @@
     for (phase, born) in [(Phase::Draining, 0), (Phase::Gone, 0), (Phase::Ready, 7)] {
         let executor = Rc::new(LocalExecutor::new());
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let nodes = Nodes::new(told.clone(), 8, executor.clone(), log);
+        let nodes = Nodes::new(told.clone(), room(8), executor.clone(), log);
         let entry = |phase, born| Entry { name: "n0".to_owned(), address, phase, born };
         let replica = nodes.list(&entry(Phase::Ready, 0));
         assert_eq!(replica, ReplicaId(1));
