Leave a lost room out of the draw as a whole, by what its data nodes say together

Cause: Balancer::candidates knew each replica alone (blame, watch_silence). On the full fleet a coordinator sends 31 parts a second over 179 data nodes and meets each about once in 6 s, so a zone that is cut off for 6 s is learnt when it is back. Change: four replicas of a zone silent for the tail's time or out of reach, none of it heard since while another zone was: the zone leaves the draw and its parts are retried; one part as often as one replica is met tries it, any answer clears it. Room in the file came from grouping state (Fleet, Recent, Query::new), no decision moved.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,6 +36,8 @@
 /// shorter one would pass unnoticed). It doubles with each further one up to the longest.
 const EJECT: f64 = 1.0;
 const EJECT_LONGEST: f64 = 8.0;
+/// So many replicas of one zone silent or out of reach, and none heard since: the room is lost.
+const ROOM_LEAST: usize = 4;
 /// Seconds without use after which a connection may have been dropped unseen, and the share of unanswered
 /// sends by which pauses are held to be the cause.
 const PAUSE: f64 = 0.3;
@@ -102,13 +104,7 @@
     replicas: BTreeMap<ReplicaId, Replica>,
     /// Replicas by cell, so that a draw does not look at the whole fleet.
     cells: BTreeMap<u32, BTreeSet<ReplicaId>>,
-    /// How many are ready, how many of these are warm, and the mean of the queues that they reported lately,
-    /// as this round begins.
-    ready: f64,
-    warm: f64,
-    /// Over half of them owe an answer, and none at all has come lately: it is not the replicas.
-    stalled: bool,
-    average: f64,
+    fleet: Fleet,
     queries: BTreeMap<QueryNumber, Query>,
     parts: BTreeMap<PartId, Part>,
     /// Parts sent to each replica in this round: they share calls.
@@ -116,10 +112,6 @@
     recent: Recent,
     tenants: BTreeMap<TenantId, Tally>,
     usual: BTreeMap<ClassId, f64>,
-    /// Until when queries are suspect of bringing down replicas.
-    suspect: f64,
-    /// Share of recent sends that went unanswered: on connections in use, and after a pause.
-    unanswered: [f64; 2],
     pace: Pace,
     swept: f64,
     renew: f64,
@@ -139,18 +131,13 @@
             margin: END_MARGIN + 2.0 * settings.round,
             replicas: BTreeMap::new(),
             cells: BTreeMap::new(),
-            ready: 1.0,
-            warm: 1.0,
-            stalled: false,
-            average: 0.0,
+            fleet: Fleet::default(),
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
             calls: BTreeMap::new(),
             recent: Recent::default(),
             tenants: BTreeMap::new(),
             usual: BTreeMap::new(),
-            suspect: 0.0,
-            unanswered: [0.0; 2],
             pace: Pace { typical: aim / 10.0, tail: aim / 5.0, ..Pace::default() },
             swept: f64::NEG_INFINITY,
             renew: RENEW,
@@ -180,13 +167,13 @@
         let window = self.s.budget.unwrap_or(OWN_BUDGET).window.max(RECENT) + 2.0 * self.s.round;
         self.recent.trim(self.now - window);
         let known: Vec<f64> = self.replicas.values().filter_map(|r| self.reported(r)).collect();
-        self.average = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        self.fleet.average = known.iter().sum::<f64>() / known.len().max(1) as f64;
         let warm = |r: &&Replica| r.listed.phase == Phase::Ready && r.cold_since(now, self.s.cold).is_none();
-        self.warm = self.replicas.values().filter(warm).count().max(1) as f64;
+        self.fleet.warm = self.replicas.values().filter(warm).count().max(1) as f64;
         let late = now - self.pace.typical;
         let owes = |r: &&Replica| r.out.values().any(|f| f.sent < late && !f.streams);
         let owing = self.replicas.values().filter(owes).count() as f64;
-        self.stalled = self.pace.served < late && owing > 2.0 && 2.0 * owing > self.ready;
+        self.fleet.stalled = self.pace.served < late && owing > 2.0 && 2.0 * owing > self.fleet.ready;
         self.subscribe();
         self.watch_silence();
         self.admit();
@@ -235,21 +222,15 @@
         self.renew = RENEW;
         entries.iter().for_each(|entry| self.list(entry));
         let ready = self.replicas.values().filter(|r| r.listed.phase == Phase::Ready);
-        self.ready = ready.count().max(1) as f64;
+        self.fleet.ready = ready.count().max(1) as f64;
         self.forget();
     }
 
     /// Guards a long run, in which replicas are replaced for good, against growing.
     fn forget(&mut self) {
-        let now = self.now;
-        let (replicas, cells) = (&mut self.replicas, &mut self.cells);
-        replicas.retain(|id, r| {
-            let kept = r.listed.phase != Phase::Gone || now - r.gone < FORGET || !r.out.is_empty();
-            if !kept {
-                cells.entry(u32::from(r.listed.cell.0)).or_default().remove(id);
-            }
-            kept
-        });
+        let (now, replicas) = (self.now, &mut self.replicas);
+        replicas.retain(|_, r| r.listed.phase != Phase::Gone || now - r.gone < FORGET || !r.out.is_empty());
+        self.cells.values_mut().for_each(|ids| ids.retain(|id| replicas.contains_key(id)));
     }
 
     /// Replicas that are remembered.
@@ -308,7 +289,7 @@
             return r.out.values().filter(|f| counts(f.sent, f64::NEG_INFINITY)).count() as i64;
         }
         let since = r.out.values().filter(|f| counts(f.sent, r.heard)).count() as f64;
-        (self.reported(r).unwrap_or(self.average) + since).round() as i64
+        (self.reported(r).unwrap_or(self.fleet.average) + since).round() as i64
     }
 
     /// Every answer refreshes its replica's entry.
@@ -338,16 +319,19 @@
     fn candidates(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let mut all = self.holders(shard);
         let now = self.now;
-        let sound = |r: &Replica| r.until(class) <= now && r.whole.trials == 0;
+        let lost = |r: &Replica| self.room_lost(r.listed.zone);
+        let sound = |r: &Replica| r.until(class) <= now && r.whole.trials == 0 && !lost(r);
         let resting = all.iter().map(|id| &self.replicas[id]).any(|r| r.rests(now) && sound(r));
         all.retain(|id| !self.replicas[id].rests(now) && self.cold_room(*id));
-        let good = |id: &&ReplicaId| self.replicas[*id].usable(class, now) && !avoid.contains(id);
+        let lost = |id: &ReplicaId| self.room_lost(self.replicas[id].listed.zone);
+        let good =
+            |id: &&ReplicaId| self.replicas[*id].usable(class, now) && !avoid.contains(id) && !lost(id);
         let healthy: Vec<_> = all.iter().filter(good).copied().collect();
         if !healthy.is_empty() || resting {
             return healthy;
         }
         let until = |id: &ReplicaId| self.replicas[id].until(class).max(now);
-        let worse = |id: &ReplicaId| (!self.replicas[id].usable(class, now), avoid.contains(id));
+        let worse = |id: &ReplicaId| (lost(id), !self.replicas[id].usable(class, now), avoid.contains(id));
         all.sort_by(|a, b| until(a).total_cmp(&until(b)));
         all.sort_by_key(worse);
         all.truncate(1);
@@ -427,7 +411,7 @@
     // Attempts.
 
     fn send(&mut self, part: PartId, replica: ReplicaId, why: Option<Why>) {
-        let reaped = self.reaped();
+        let (reaped, between) = (self.reaped(), self.between());
         let (Some(p), Some(r)) = (self.parts.get_mut(&part), self.replicas.get_mut(&replica)) else { return };
         let n = p.attempts.len() as u8;
         let copy = why == Some(Why::Copy);
@@ -437,12 +421,12 @@
             self.out.push(Action::CloseIdle { replica });
             paused = false;
         }
-        r.out.insert(
-            (part, n),
-            Flight { sent: self.now, class: p.class, paused, silent: false, streams: false },
-        );
+        r.out.insert((part, n), Flight { sent: self.now, class: p.class, paused, ..Flight::default() });
         r.used = self.now;
         r.sent.add(self.now);
+        if let Some(until) = self.fleet.rooms.get_mut(&r.listed.zone).and_then(|room| room.until.as_mut()) {
+            *until = self.now + between.max(EJECT);
+        }
         *self.calls.entry(replica).or_insert(0) += 1;
         self.recent.sends.add(self.now);
         if why.is_some_and(|why| why != Why::Failed) {
@@ -490,13 +474,14 @@
                 && part.attempts.last().is_some_and(|a| a.ended.is_some_and(Outcome::failed));
             return (!part.served).then_some(if failed { Why::Failed } else { Why::Retry });
         }
-        let hedge_after = HEDGE_TAIL * self.pace.tail;
+        let (now, hedge_after) = (self.now, HEDGE_TAIL * self.pace.tail);
         let bad = |r: &Replica| r.until(part.class) > self.now || r.out.values().any(|f| f.silent);
-        let suspect = |a: &Attempt| self.replicas.get(&a.replica).is_none_or(bad);
+        let lost = |r: &Replica| bad(r) || self.room_lost(r.listed.zone);
+        let suspect = |a: &Attempt| self.replicas.get(&a.replica).is_none_or(lost);
         match out.clone().all(|a| suspect(a) && self.now > a.sent) {
             true => Some(Why::Retry),
             // Guards against hedging all that is out when nothing reaches us at all.
-            false => (!self.stalled && out.all(|a| self.now - a.sent > hedge_after)).then_some(Why::Hedge),
+            false => (!self.fleet.stalled && out.all(|a| now - a.sent > hedge_after)).then_some(Why::Hedge),
         }
     }
 
@@ -600,10 +585,16 @@
         let now = self.now;
         let Some(r) = self.replicas.get_mut(&id) else { return };
         r.used = now;
+        let room = self.fleet.rooms.entry(r.listed.zone).or_default();
+        match outcome {
+            Outcome::Served | Outcome::TurnedAway | Outcome::Error => *room = Room::heard(now),
+            Outcome::NoConnection if flight.sent > room.heard => drop(room.silent.insert(id)),
+            _ => {}
+        }
         match outcome {
             Outcome::TurnedAway => (r.rest, r.full) = (now + FULL_REST, r.out.len()),
             Outcome::Served => {
-                self.unanswered[usize::from(flight.paused)] *= 1.0 - GAIN;
+                self.recent.unanswered[usize::from(flight.paused)] *= 1.0 - GAIN;
                 if r.cold_since(now, self.s.cold).is_none() {
                     self.recent.borne.add(now);
                 }
@@ -612,7 +603,7 @@
             }
             Outcome::Reset | Outcome::NoConnection => {
                 if outcome == Outcome::Reset || took < DIED_WITHIN * self.pace.typical {
-                    self.suspect = self.now + SUSPECT;
+                    self.recent.suspect = self.now + SUSPECT;
                 }
                 r.used = 0.0;
                 // Guards a part's few attempts: where the others rest it alone is left, and they would all be
@@ -620,7 +611,7 @@
                 if outcome == Outcome::NoConnection {
                     (r.rest, r.full) = (now + FULL_REST, 0);
                 }
-                self.unanswered[0] += GAIN * (1.0 - self.unanswered[0]);
+                self.recent.unanswered[0] += GAIN * (1.0 - self.recent.unanswered[0]);
                 self.blame(id, flight, 1.0, true);
             }
             Outcome::Error => self.blame(id, flight, ERROR_GAIN, false),
@@ -636,7 +627,7 @@
     /// No answer. Where mainly what follows a pause goes unanswered, a connection was dropped unseen: the
     /// replica is sound and only loses the connection. What is sent on a used or new one tells the two apart.
     fn unanswered(&mut self, id: ReplicaId, flight: Flight, gain: f64) {
-        let loss = &mut self.unanswered[usize::from(flight.paused)];
+        let loss = &mut self.recent.unanswered[usize::from(flight.paused)];
         *loss += GAIN * (1.0 - *loss);
         if !(flight.paused && self.reaped()) {
             self.blame(id, flight, gain, false);
@@ -645,15 +636,20 @@
 
     /// Whether connections are dropped unseen when they are not used, so that idle ones are renewed.
     fn reaped(&self) -> bool {
-        let [used, paused] = self.unanswered;
+        let [used, paused] = self.recent.unanswered;
         paused > PAUSE_LOSS && paused > 2.0 * used
     }
 
+    /// Seconds between two sends of ours to one replica.
+    fn between(&mut self) -> f64 {
+        RECENT * self.fleet.ready / self.recent.sends.count(self.now - RECENT).max(1.0)
+    }
+
     /// The one place for blame. A failure counts against the class alone while the replica lately served
     /// another, else against the replica; a broken connection always does.
     fn blame(&mut self, id: ReplicaId, flight: Flight, gain: f64, whole: bool) {
-        let (now, sends) = (self.now, self.recent.sends.count(self.now - RECENT).max(1.0));
-        let seen = if whole || gain < 1.0 { 0.0 } else { RECENT * self.ready / sends };
+        let (now, between) = (self.now, self.between());
+        let seen = if whole || gain < 1.0 { 0.0 } else { between };
         let Some(r) = self.replicas.get_mut(&id) else { return };
         let sound = |(c, b): (&ClassId, &Blame)| *c != flight.class && b.answered > flight.sent - RECENT;
         let class_only = !whole && r.classes.iter().any(sound);
@@ -679,24 +675,39 @@
     /// Seen deaths make queries of many parts suspect, whoever sent them: each tries one part first, so sound
     /// ones are served and a deadly one breaks one replica only. May hurt by the time of one part.
     fn on_probation(&self, query: &Query) -> bool {
-        query.served == 0 && query.parts.len() > FEW_PARTS && self.suspect > self.now
+        query.served == 0 && query.parts.len() > FEW_PARTS && self.recent.suspect > self.now
     }
 
     /// Guards against replicas that take work and answer nothing, whatever keeps them silent.
     fn watch_silence(&mut self) {
         let limit = self.now - (SILENT_TAIL * self.pace.tail).max(8.0 * self.s.round);
-        let mut found = Vec::new();
+        let (mut found, late, between) = (Vec::new(), self.now - self.pace.tail, self.between());
         for (id, r) in &mut self.replicas {
+            let room = self.fleet.rooms.entry(r.listed.zone).or_default();
+            let since = room.heard;
+            if r.out.values().any(|f| !f.streams && f.sent > since && f.sent < late) {
+                room.silent.insert(*id);
+            }
             for f in r.out.values_mut().filter(|f| !f.silent && !f.streams && f.sent < limit) {
                 found.push((*id, *f));
                 f.silent = true;
             }
         }
+        let rooms = &mut self.fleet.rooms;
+        let heard = rooms.values().map(|room| room.heard).fold(0.0, f64::max);
+        let lost = |r: &&mut Room| r.until.is_none() && r.silent.len() >= ROOM_LEAST && r.heard < heard;
+        rooms.values_mut().filter(lost).for_each(|room| room.until = Some(self.now + between.max(EJECT)));
         for (id, flight) in found {
             self.unanswered(id, flight, 1.0);
         }
     }
 
+    /// Whether a whole room is out of the draw. Guards parts where each replica is met seldom: learnt
+    /// one by one, a lost room is known when it is back. A part tries it as often as one replica is met.
+    fn room_lost(&self, zone: ZoneId) -> bool {
+        self.fleet.rooms.get(&zone).is_some_and(|room| room.until.is_some_and(|until| until > self.now))
+    }
+
     // Slow start.
 
     /// Whether a cold replica stands another part from us: our share of what it may get in any window, by
@@ -711,7 +722,7 @@
             return true;
         };
         let span = RECENT.min(now - self.born).max(rule.after);
-        let per_window = self.recent.borne.count(now - RECENT) / self.warm * rule.after / span;
+        let per_window = self.recent.borne.count(now - RECENT) / self.fleet.warm * rule.after / span;
         let capacity = rule.from + (1.0 - rule.from) * ((now - start) / rule.ramp).max(0.0);
         let share = (COLD_CAUTION * rule.multiple * capacity * per_window).max(1e-3);
         let span = rule.after / share.min(1.0);
@@ -753,19 +764,8 @@
         // A first try, where repeats are marked, has waited for nothing: a client may simply want it soon.
         let first_try = self.s.marks_retry && !repeat;
         let waited = self.waited(class_id, &class, patience) * f64::from(u8::from(!first_try));
-        let q = Query {
-            id: query,
-            in_class: class_id,
-            class,
-            tenant,
-            ends: self.now + patience,
-            aim: self.now + class.aim - waited,
-            parts: Vec::new(),
-            first: None,
-            admitted: false,
-            served: 0,
-            broke: Vec::new(),
-        };
+        let (ends, aim) = (self.now + patience, self.now + class.aim - waited);
+        let q = Query::new(query, class_id, class, tenant, ends, aim);
         self.out.push(Action::Timer { after: (patience - self.margin).max(0.0) });
         // A number used again while its query is open: the old one still gets its answer.
         if let Some(mut old) = self.queries.insert(number, q) {
@@ -836,7 +836,7 @@
     fn admit(&mut self) {
         if self.pace.limit == 0.0 {
             let all = f64::from(self.s.coordinators.max(1));
-            self.pace.limit = (self.ready * LIMIT_START / all).max(LIMIT_LEAST);
+            self.pace.limit = (self.fleet.ready * LIMIT_START / all).max(LIMIT_LEAST);
         }
         let waiting = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect::<Vec<_>>();
         let mut order: Vec<(f64, QueryNumber)> = waiting.iter().map(|n| (self.density(*n), *n)).collect();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CellId(pub u16);
 /// Index into [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub u16);
 /// Index into [`Settings::tenants`]; ignored where there are none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a co-ordinator keeps between rounds, and the check of its settings. Nothing here decides or holds a
 //! tuned value; decisions are in `src/balance.rs`.
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
 
@@ -31,6 +31,10 @@
     pub probes: Tally,
     /// Parts that warm replicas served.
     pub borne: Tally,
+    /// Until when queries are suspect of bringing down replicas.
+    pub suspect: f64,
+    /// Share of sends that went unanswered: on connections in use, and after a pause.
+    pub unanswered: [f64; 2],
 }
 
 impl Recent {
@@ -103,8 +107,16 @@
     pub broke: Vec<ReplicaId>,
 }
 
+impl Query {
+    pub fn new(id: QueryId, in_class: ClassId, class: Class, tenant: TenantId, ends: f64, aim: f64) -> Query {
+        let (parts, broke) = Default::default();
+        let (first, admitted, served) = (None, false, 0);
+        Query { id, in_class, class, tenant, ends, aim, parts, first, admitted, served, broke }
+    }
+}
+
 /// An attempt that a replica owes an answer for.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 pub struct Flight {
     pub sent: f64,
     pub class: ClassId,
@@ -116,6 +128,36 @@
     pub streams: bool,
 }
 
+/// The replicas as a round begins.
+#[derive(Default)]
+pub struct Fleet {
+    pub ready: f64,
+    /// How many of these are warm, and the mean of the queues that they reported lately.
+    pub warm: f64,
+    pub average: f64,
+    /// Over half of them owe an answer, and none at all has come lately: it is not the replicas.
+    pub stalled: bool,
+    pub rooms: BTreeMap<ZoneId, Room>,
+}
+
+/// What is known of the replicas of one zone together.
+#[derive(Default)]
+pub struct Room {
+    /// When one of them last answered anything.
+    pub heard: f64,
+    /// Those that were sent to since then, and are silent or could not be reached.
+    pub silent: BTreeSet<ReplicaId>,
+    /// Until when the room is out of the draw, if it is lost; then one part may try it.
+    pub until: Option<f64>,
+}
+
+impl Room {
+    /// One of its replicas answered just now.
+    pub fn heard(now: f64) -> Room {
+        Room { heard: now, ..Room::default() }
+    }
+}
+
 /// What is held against a replica, in all or for one class.
 #[derive(Default)]
 pub struct Blame {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -18,6 +18,8 @@
     Good,
     /// Answers this share of its parts with an error at once.
     Errors(f64),
+    /// Cut off: no connection comes up.
+    Lost,
 }
 
 /// An outcome that is on its way.
@@ -96,7 +98,8 @@
             while self.due.peek().is_some_and(|d| d.0 .0 <= (self.now * 1e6) as u64) {
                 let Some((_, at, part, attempt, replica, how)) = self.due.pop() else { break };
                 let Some((_, sent)) = self.out.remove(&(at, part, attempt)) else { continue };
-                let outcome = [Outcome::Served, Outcome::Error, Outcome::Cancelled][usize::from(how)];
+                let outcome = [Outcome::Served, Outcome::Error, Outcome::Cancelled, Outcome::NoConnection]
+                    [usize::from(how)];
                 let (took, over) = (self.now - sent, outcome == Outcome::Served);
                 events.entry(at).or_default().push(Event::Outcome {
                     part,
@@ -145,6 +148,7 @@
                 let (one, spread) = (self.chance(), self.chance());
                 let (how, after) = match self.modes[replica.0 as usize] {
                     Mode::Errors(share) if one < share => (1, 0.002),
+                    Mode::Lost => (3, 0.25),
                     _ => (0, 0.03 + 0.04 * spread),
                 };
                 let when = ((self.now + after) * 1e6) as u64;
@@ -214,3 +218,25 @@
     let rule = 2.5 * (0.15 + 0.85 * 1.5 / 17.0) * warm;
     assert!(most < rule, "{most} parts in a second to a cold one, of {rule:.1} that it stands");
 }
+
+#[test]
+fn a_lost_room_is_left_alone_though_each_of_its_data_nodes_is_met_seldom() {
+    let mut world = World::new(20, 60);
+    world.run(5.0, 0.5, 60);
+    // All of one zone: no connection comes up, and each coordinator meets a data node every two seconds.
+    (0..60).filter(|n| n % 3 == 0).for_each(|n| world.modes[n] = Mode::Lost);
+    let lost = world.now;
+    world.run(6.0, 0.5, 60);
+    let first = |from: f64| {
+        let late = world.sends.iter().filter(|s| s.0 >= from && s.2);
+        let there = late.clone().filter(|s| s.1 .0 % 3 == 0);
+        there.count() as f64 / late.count().max(1) as f64
+    };
+    // Once each has had its first query there, a part now and then sees whether the room is back.
+    let share = first(lost + 3.0);
+    assert!(share < 0.05, "{share:.2} of the first attempts go to the lost room");
+    (0..60).for_each(|n| world.modes[n] = Mode::Good);
+    world.run(8.0, 0.5, 60);
+    let back = world.sends.iter().filter(|s| s.0 >= world.now - 1.0 && s.1 .0 % 3 == 0).count();
+    assert!(back > 0, "the room is used again");
+}
