Take back the wait before a final answer: it did not prevent the broken rule

Traced: between 61.09 and 61.145 s nothing at all comes from data nodes and clients, in each play, while our own timers go on (the 30 ms ran out at 61.1037 and the answer was written); what was written in or before it is read when they go on. Ruled out: ours being paused, ids taken twice, frames written behind the answer (none in the traces). Change: the wait, Carried's table of written attempts and their test go; answers leave at once.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use futures_lite::FutureExt;
 use serde::Deserialize;
 use slog::{info, warn, Logger};
@@ -121,7 +120,7 @@
                         }
                         Answer::new(if matches!(bad, Bad::Open) { 409 } else { 400 }, fault(&bad))
                     }
-                    Ok((query, _open, aim)) => match self.core.take(query) {
+                    Ok((query, _open)) => match self.core.take(query) {
                         None => {
                             if let Some(spared) = self.said.refused.line() {
                                 info!(self.log, "refused"; "why" => "as much is open as may be",
@@ -136,20 +135,7 @@
                                 info!(self.log, "no room for another query"; "open" => self.core.open(),
                                     "held" => self.core.held(), "spared" => spared);
                             }
-                            // Guards against an answer that overtakes a frame written just before it; it is not
-                            // held past its class's aim.
-                            let carried = taken.carried();
-                            let wanted = begun + aim;
-                            let ended = async {
-                                let outcome = taken.outcome().await;
-                                let now = Instant::now();
-                                let latest = if now < wanted { wanted } else { taken.deadline() };
-                                let settled = carried.settled(now, latest.min(taken.deadline()));
-                                if settled > now {
-                                    Timer::at(settled).await;
-                                }
-                                Some(outcome)
-                            };
+                            let ended = async { Some(taken.outcome().await) };
                             let left = async {
                                 client.gone(message.length).await;
                                 None
@@ -204,7 +190,7 @@
         message: &Message,
         buffer: &Buffer,
         now: Instant,
-    ) -> Result<(Query<Carried>, Taken, Duration), Bad> {
+    ) -> Result<(Query<Carried>, Taken), Bad> {
         let header = |name| match message.only(buffer, name) {
             Some(Ok(value)) => Ok(value),
             Some(Err(())) => Err(Bad::Header(name)),
@@ -251,9 +237,7 @@
         let carried = Carried::new(id.to_owned(), body.statement.as_bytes().to_vec());
         self.open.borrow_mut().insert(id.to_owned());
         let open = Taken(self.open.clone(), id.to_owned());
-        let aim = self.told.settings.classes.get(class).map_or(0.0, |c| c.aim);
-        let aim = Duration::try_from_secs_f64(aim).unwrap_or_default().min(LONGEST);
-        Ok((Query { class: ClassId(class as u16), deadline, repeat, parts, carried }, open, aim))
+        Ok((Query { class: ClassId(class as u16), deadline, repeat, parts, carried }, open))
     }
 
     fn answer(&self, outcome: &Final) -> Answer {
--- a/src/net/nodes/connection.rs
+++ b/src/net/nodes/connection.rs
@@ -23,8 +23,6 @@
 /// A part on a connection.
 pub struct Item {
     pub id: String,
-    /// Which of its query's attempts it is.
-    pub attempt: u32,
     pub shard: ShardId,
     /// What its list holds beside its time.
     pub extra: String,
--- a/src/net/nodes/exchange.rs
+++ b/src/net/nodes/exchange.rs
@@ -119,7 +119,6 @@
             // The parts wait from their first byte on, so that none is left out of what the connection holds;
             // until the last byte is written they have not run.
             connection.waiting.borrow_mut().extend(parts.iter().cloned());
-            parts.iter().for_each(|item| item.carried.wrote(item.attempt, connection.used.get()));
             if !parts.is_empty() && connection.owes.get().is_none() {
                 connection.owes.set(Some(Instant::now()));
             }
@@ -279,15 +278,12 @@
                 let Some(n) = waiting.iter().position(|item| item.id == id) else {
                     let mut given_up = connection.given_up.borrow_mut();
                     let Some(n) = given_up.iter().position(|item| item.id == id) else { return false };
-                    if let Some(item) = given_up.remove(n) {
-                        item.carried.read(item.attempt);
-                    }
+                    given_up.remove(n);
                     drop(waiting);
                     owing(connection);
                     return true;
                 };
                 let item = waiting.remove(n);
-                item.carried.read(item.attempt);
                 drop(waiting);
                 owing(connection);
                 let report = self.report(report);
--- a/src/net/nodes/mod.rs
+++ b/src/net/nodes/mod.rs
@@ -28,10 +28,6 @@
 const DEAD: Duration = Duration::from_secs(1);
 /// How long a data node may take to take a new connection after one broke, to count as living.
 const LIVES: Duration = Duration::from_millis(50);
-/// How long a frame may lie unread: when all data nodes were silent for 55 ms, one was read 25 ms after its writing.
-const ON_ITS_WAY: Duration = Duration::from_millis(30);
-/// How long before the time by which a final answer is wanted it goes out, whatever is on its way.
-const LEAST: Duration = Duration::from_millis(2);
 /// How long a data node stays known that is gone. Its restarts are told from its last life for so long; any
 /// list says within seconds that it is back.
 const FORGET: Duration = Duration::from_secs(30);
@@ -42,40 +38,11 @@
 pub struct Carried {
     pub id: String,
     pub statement: Vec<u8>,
-    /// Its attempts that were written and not answered, by their numbers, and when; at most four a part.
-    written: RefCell<Vec<(u32, Instant)>>,
-    /// The last number given to an attempt.
-    attempts: Cell<u32>,
 }
 
 impl Carried {
     pub fn new(id: String, statement: Vec<u8>) -> Carried {
-        Carried { id, statement, written: RefCell::default(), attempts: Cell::new(0) }
-    }
-
-    /// A number for its next attempt.
-    fn attempt(&self) -> u32 {
-        self.attempts.set(self.attempts.get() + 1);
-        self.attempts.get()
-    }
-
-    /// The frame of this attempt is written.
-    pub fn wrote(&self, attempt: u32, at: Instant) {
-        self.written.borrow_mut().push((attempt, at));
-    }
-
-    /// This attempt is answered: its frame has been read.
-    pub fn read(&self, attempt: u32) {
-        self.written.borrow_mut().retain(|(n, _)| *n != attempt);
-    }
-
-    /// From when on its final answer may go out. A frame that was written shortly before and is not answered may
-    /// still lie unread, and must not be overtaken by the answer: its data node would begin work that is over.
-    /// Never up to `latest`, by which the answer is wanted.
-    pub fn settled(&self, now: Instant, latest: Instant) -> Instant {
-        let last = self.written.borrow().iter().map(|(_, at)| *at).max();
-        let settled = last.map_or(now, |at| at + ON_ITS_WAY);
-        settled.min(latest.checked_sub(LEAST).unwrap_or(now)).max(now)
+        Carried { id, statement }
     }
 }
 
@@ -258,7 +225,6 @@
         let second = if call.step == Step::First { "" } else { ".b" };
         let item = Rc::new(Item {
             id: format!("{}.{}{second}", call.carried.id, call.shard.0),
-            attempt: call.carried.attempt(),
             shard: call.shard,
             extra: listed(&call.step),
             carried: call.carried,
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -105,25 +105,6 @@
     }));
 }
 
-/// Guards the rule on final answers, as the other side sees it: no answer overtakes a frame on its way.
-#[test]
-fn an_answer_waits_for_a_frame_that_was_written_just_before() {
-    let (now, ms) = (Instant::now(), Duration::from_millis);
-    let (carried, deadline) = (Carried::new(String::new(), Vec::new()), now + ms(100));
-    assert_eq!(carried.settled(now, deadline), now, "nothing was written");
-    carried.wrote(1, now);
-    carried.wrote(2, now + ms(3));
-    assert_eq!(carried.settled(now + ms(5), deadline), now + ms(33));
-    carried.read(2);
-    assert_eq!(carried.settled(now + ms(5), deadline), now + ms(30), "the other one is read");
-    assert_eq!(carried.settled(now + ms(40), deadline), now + ms(40), "it has come by now");
-    carried.wrote(3, now + ms(90));
-    assert_eq!(carried.settled(now + ms(91), deadline), now + ms(98), "not up to the deadline");
-    carried.read(3);
-    carried.read(1);
-    assert_eq!(carried.settled(now + ms(1), deadline), now + ms(1), "all are read");
-}
-
 /// Wait for a thread while the executor runs on.
 async fn blocking_join<T: Send + 'static>(thread: std::thread::JoinHandle<T>) -> T {
     let (send, done) = async_channel::bounded(1);
