Hedge only where an answer came in time just now: hedges kept a jam alive

Two stretches of the ring, 10 of 182 data nodes each, are jammed. From 14 to 15 s: "c9 n25 sends 117 first 30 served 24 away 58 canc 31 p50 0.664", as many first sends as everywhere, three times as many sends in all, half of them turned away and most of the rest called off unread. The budget of hedges holds for the whole fleet and is spent in the jam: each late part there is hedged to a neighbour in the jam. Lines at fault: `Balancer::again`, which asks of a hedge's target only that it is not the one that is late.

Change: a hedge goes to a data node that answered within STALE and within the tail.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -306,8 +306,6 @@
         })
     }
 
-    // Pair draw.
-
     fn has_room(&self, id: ReplicaId) -> bool {
         self.calls.get(&id).is_some_and(|n| n % self.s.per_call.max(1) != 0)
     }
@@ -319,8 +317,8 @@
     fn candidates(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let mut all = self.holders(shard);
         let now = self.now;
-        let lost = |r: &Replica| self.room_lost(r.listed.zone);
-        let sound = |r: &Replica| r.until(class) <= now && r.whole.trials == 0 && !lost(r);
+        let sound =
+            |r: &Replica| r.until(class) <= now && r.whole.trials == 0 && !self.room_lost(r.listed.zone);
         let resting = all.iter().map(|id| &self.replicas[id]).any(|r| r.rests(now) && sound(r));
         all.retain(|id| !self.replicas[id].rests(now) && self.cold_room(*id));
         let lost = |id: &ReplicaId| self.room_lost(self.replicas[id].listed.zone);
@@ -363,8 +361,6 @@
         pair.iter().copied().min_by_key(key)
     }
 
-    // Copy gate.
-
     fn may_copy(&mut self, class: &Class, pair: &[ReplicaId]) -> bool {
         let &[a, b] = pair else { return false };
         let idle = [a, b].iter().all(|id| self.idle(*id) && self.replicas[id].whole.trials == 0);
@@ -485,7 +481,8 @@
         }
     }
 
-    /// Another attempt beside at most one that is out, elsewhere if there is an elsewhere.
+    /// Another attempt beside at most one that is out, elsewhere if there is an elsewhere. A hedge goes where
+    /// an answer came in time just now. Guards a jammed stretch, where all is late: hedges double its load.
     fn again(&mut self, class: &Class, id: PartId, why: Why) {
         let Some(part) = self.parts.get(&id) else { return };
         let out = part.attempts.iter().filter(|a| a.ended.is_none() && !a.cancelled);
@@ -498,7 +495,9 @@
             return;
         }
         let pair = self.draw(in_class, shard, &tried);
-        if let Some(replica) = self.shorter(&pair).filter(|r| !busy.contains(r)) {
+        let fresh = |r: &Replica| self.now - r.took_at < STALE && r.took <= self.pace.tail;
+        let good = |id: &ReplicaId| !busy.contains(id) && (why != Why::Hedge || fresh(&self.replicas[id]));
+        if let Some(replica) = self.shorter(&pair).filter(good) {
             if crowded {
                 self.cancel_part(id);
             }
@@ -730,8 +729,6 @@
         turn && now >= self.born + rule.after && r.sent.count(now - span) + 1.0 <= share.max(1.0)
     }
 
-    // Probes.
-
     /// Where reports come only by probe, ask the replica not asked for longest, within a share of the parts.
     fn probe(&mut self) {
         let now = self.now;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -20,6 +20,8 @@
     Errors(f64),
     /// Cut off: no connection comes up.
     Lost,
+    /// Serves one part after the other, each in this time, whether it is still wanted or not; 30 may wait.
+    Serves(f64),
 }
 
 /// An outcome that is on its way.
@@ -29,6 +31,8 @@
     rng: Pcg64Mcg,
     now: f64,
     modes: Vec<Mode>,
+    /// Until when each data node that serves one after the other is at work on what it has taken.
+    busy: Vec<f64>,
     all: Vec<Balancer>,
     due: BinaryHeap<Due>,
     out: BTreeMap<(usize, PartId, u8), (ReplicaId, f64)>,
@@ -82,7 +86,8 @@
         }
         let (due, out, tries, asked, sends) = Default::default();
         let (rng, modes) = (Pcg64Mcg::seed_from_u64(7), vec![Mode::Good; nodes]);
-        World { rng, now: 10.0, modes, all, due, out, tries, next: 0, asked, sends }
+        let busy = vec![0.0; nodes];
+        World { rng, now: 10.0, modes, busy, all, due, out, tries, next: 0, asked, sends }
     }
 
     fn chance(&mut self) -> f64 {
@@ -98,8 +103,13 @@
             while self.due.peek().is_some_and(|d| d.0 .0 <= (self.now * 1e6) as u64) {
                 let Some((_, at, part, attempt, replica, how)) = self.due.pop() else { break };
                 let Some((_, sent)) = self.out.remove(&(at, part, attempt)) else { continue };
-                let outcome = [Outcome::Served, Outcome::Error, Outcome::Cancelled, Outcome::NoConnection]
-                    [usize::from(how)];
+                let outcome = [
+                    Outcome::Served,
+                    Outcome::Error,
+                    Outcome::Cancelled,
+                    Outcome::NoConnection,
+                    Outcome::TurnedAway,
+                ][usize::from(how)];
                 let (took, over) = (self.now - sent, outcome == Outcome::Served);
                 events.entry(at).or_default().push(Event::Outcome {
                     part,
@@ -149,6 +159,17 @@
                 let (how, after) = match self.modes[replica.0 as usize] {
                     Mode::Errors(share) if one < share => (1, 0.002),
                     Mode::Lost => (3, 0.25),
+                    Mode::Serves(each) => {
+                        let busy = &mut self.busy[replica.0 as usize];
+                        *busy = busy.max(self.now);
+                        let full = *busy - self.now > 30.0 * each;
+                        *busy += if full { 0.0 } else { each * (0.5 + spread) };
+                        if full {
+                            (4, 0.002)
+                        } else {
+                            (0, *busy - self.now)
+                        }
+                    }
                     _ => (0, 0.03 + 0.04 * spread),
                 };
                 let when = ((self.now + after) * 1e6) as u64;
@@ -219,6 +240,24 @@
     assert!(most < rule, "{most} parts in a second to a cold one, of {rule:.1} that it stands");
 }
 
+#[test]
+fn a_jammed_stretch_drains_though_all_that_waits_there_is_late() {
+    let mut world = World::new(100, 60);
+    // Two thirds of what the data nodes can do; each coordinator meets one of them every five seconds.
+    world.modes = vec![Mode::Serves(0.033); 60];
+    world.run(6.0, 0.5, 24);
+    let before = world.in_time(world.now - 3.0);
+    // Twelve neighbours hold as much as may wait.
+    (20..32).for_each(|n| world.busy[n] = world.now + 1.0);
+    world.run(9.0, 0.5, 24);
+    let (after, sends) = (world.in_time(world.now - 4.0), world.sends.iter().rev());
+    let again = sends.take_while(|s| s.0 > world.now - 4.0).filter(|s| !s.2).count();
+    assert!(
+        after > before - 0.1,
+        "{before:.2} were in time, {after:.2} after; {again} attempts again in 4 s"
+    );
+}
+
 #[test]
 fn a_lost_room_is_left_alone_though_each_of_its_data_nodes_is_met_seldom() {
     let mut world = World::new(20, 60);
