Remember an overload until the next query, by what the last queries took

From 10 to 14 s each of 300 coordinators sees a query every 1.8 s. What it knows of an overload (`pace.delay`) halves each 0.5 s, so its next query is admitted whatever the last one met. And what it knows is the mean part: at 12 s the median part takes 71 ms and hardly a query is in time, since 35 of 182 data nodes are jammed ("n14:63/24/12", 63 sends, 24 served, 12 turned away a second) and each query of 35 parts has 1 to 8 parts there. Of 760 queries of these 4 s, 48 are in time, 112 late, 130 lost with most of their parts served, 314 refused on arrival, most as their coordinator happened to have seen something in the half second before. Lines at fault: `delay_now` and `expected` (a query takes QUERY_STRETCH times its mean part).

Change: where a replica is met less often than every 3 s (SELDOM, half as long again as news of one holds), a query is also expected to take what our last ones took, kept over QUERY_PAUSES of the pauses between them.

Tests: under an overload of half as much again 9 in 100 queries are in time, 0 in 100 before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,9 +1,8 @@
 //! All decisions of a co-ordinator. Types, events and actions: `src/interface.rs`; what is kept between
 //! rounds: `src/state.rs`.
 //!
-//! The ordinary path is NetClone's (`docs/design.md`): draw two replicas of a part's shard; if both last
-//! reported empty queues send to both, keep the first answer and cancel the twin; else send to the shorter
-//! queue. Health, slow start and call sharing act through who may be drawn and how ties fall.
+//! The ordinary path is NetClone's (`docs/design.md`): draw two replicas of a shard; both idle: to both, the
+//! first answer wins; else to the shorter queue. The rest acts through who may be drawn and how ties fall.
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand_core::{RngCore, SeedableRng};
@@ -22,29 +21,29 @@
 const PURSES: [f64; 4] = [0.4, 0.8, 1.0, f64::INFINITY];
 /// Seconds after which news of a replica is stale: it counts at the average queue and not as idle.
 const STALE: f64 = 2.0;
+/// Seconds between our sends to one replica from which on it is met too seldom to be known one by one.
+const SELDOM: f64 = 3.0;
 /// A part is hedged after this many times the 90th percentile of recent response times.
 const HEDGE_TAIL: f64 = 1.2;
 /// A replica that owes an answer for this many times that percentile, and gave none since, is silent.
 const SILENT_TAIL: f64 = 3.0;
 /// Weight of the newest sample in a replica's error score, and the score at which it is ejected: two failures
-/// in a row, or about every second one. A race lost with a hedge's head start counts too: slow or silent.
+/// in a row, or every second one. A race lost with a hedge's head start counts too.
 const ERROR_GAIN: f64 = 0.3;
 const ERROR_LIMIT: f64 = 0.5;
 /// The same weight for a part that went down with its connection: about fourteen in a row, none served.
 const DROP_GAIN: f64 = 0.05;
-/// Seconds of the first ejection; for silence at least the time between two sends of ours to one replica (a
-/// shorter one would pass unnoticed). It doubles with each further one up to the longest.
+/// Seconds of the first ejection; for silence at least the time between two sends to one replica. It doubles
+/// with each further one up to the longest.
 const EJECT: f64 = 1.0;
 const EJECT_LONGEST: f64 = 8.0;
 /// So many replicas of one zone silent or out of reach, and none heard since: the room is lost.
 const ROOM_LEAST: usize = 4;
-/// Seconds without use after which a connection may have been dropped unseen, and the share of unanswered
-/// sends by which pauses are held to be the cause.
+/// Seconds unused after which a connection may be dropped unseen, and the share of losses that shows it.
 const PAUSE: f64 = 0.3;
 const PAUSE_LOSS: f64 = 0.25;
-/// Seconds for which queries are suspect after a replica was seen to have died, and the share of the typical
-/// time within which a failed connect tells that: a slow handshake or a lost link takes longer to fail.
-/// A query of so few parts brings down few replicas and is not held back.
+/// Seconds for which queries are suspect after a replica died, the share of the typical time within which a
+/// failed connect tells that, and a query of so few parts that it is not held back.
 const SUSPECT: f64 = 20.0;
 const FEW_PARTS: usize = 12;
 const DIED_WITHIN: f64 = 0.25;
@@ -60,8 +59,10 @@
 /// Weight of the newest in admission's response time, and seconds in which that halves unseen.
 const DELAY_GAIN: f64 = 0.1;
 const DELAY_HALF: f64 = 0.5;
-/// A query's slowest part takes about this many times the mean part, more by so much of the logarithm of its
-/// parts over so many; two steps take this many times one.
+/// Pauses between our queries in which what the last ones took halves.
+const QUERY_PAUSES: f64 = 4.0;
+/// A query's slowest part takes so many times the mean one, more by so much of the logarithm of its parts
+/// over so many; two steps take this many times one.
 const QUERY_STRETCH: f64 = 2.0;
 const WIDER: f64 = 0.45;
 const WIDE: usize = 24;
@@ -69,8 +70,8 @@
 /// Step of the running median of a class's patience, and how far under it a try counts as cut short.
 const USUAL_STEP: f64 = 0.01;
 const USUAL_SLACK: f64 = 0.07;
-/// Parts open at the start for each replica, over all co-ordinators, the least limit, its step, its cut, and
-/// seconds after a cut in which its step comes back to its full size.
+/// Parts open at the start for each replica, the least limit, its step and cut, and seconds after a cut in
+/// which its step comes back.
 const LIMIT_START: f64 = 6.0;
 const LIMIT_LEAST: f64 = 4.0;
 const LIMIT_STEP: f64 = 0.3;
@@ -170,6 +171,7 @@
         self.fleet.average = known.iter().sum::<f64>() / known.len().max(1) as f64;
         let warm = |r: &&Replica| r.listed.phase == Phase::Ready && r.cold_since(now, self.s.cold).is_none();
         self.fleet.warm = self.replicas.values().filter(warm).count().max(1) as f64;
+        self.fleet.seldom = now > self.born + RECENT && self.between() > SELDOM;
         let late = now - self.pace.typical;
         let owes = |r: &&Replica| r.out.values().any(|f| f.sent < late && !f.streams);
         let owing = self.replicas.values().filter(owes).count() as f64;
@@ -202,8 +204,6 @@
         }
     }
 
-    // Membership.
-
     /// A drain or a loss acts at once: only `Ready` replicas are drawn. A full list drops what it lacks.
     fn members(&mut self, news: News, entries: &[Listed]) {
         match news {
@@ -226,7 +226,6 @@
         self.forget();
     }
 
-    /// Guards a long run, in which replicas are replaced for good, against growing.
     fn forget(&mut self) {
         let (now, replicas) = (self.now, &mut self.replicas);
         replicas.retain(|_, r| r.listed.phase != Phase::Gone || now - r.gone < FORGET || !r.out.is_empty());
@@ -272,16 +271,14 @@
         held.filter(|id| self.replicas[id].listed.phase == Phase::Ready).collect()
     }
 
-    // Queue estimate.
-
     /// Reported queue, else parts in flight reported, else our own parts there.
     fn reported(&self, r: &Replica) -> Option<f64> {
         let fresh = self.now - r.heard < STALE;
         r.report.queue.or(r.report.in_flight).filter(|_| fresh)
     }
 
-    /// The queue that a draw compares: the report plus what we sent since, in whole parts. What went out in
-    /// this very round is left out while its call has room, so that parts that arrive together share it.
+    /// The queue that a draw compares: the report plus what we sent since. What went out in this very round
+    /// is left out while its call has room, so that parts that arrive together share it.
     fn queue(&self, id: ReplicaId) -> i64 {
         let Some(r) = self.replicas.get(&id) else { return i64::MAX };
         let counts = |sent: f64, since: f64| sent > since && (sent < self.now || !self.has_room(id));
@@ -311,9 +308,8 @@
     }
 
     /// Who may be drawn: healthy holders, else the least bad one. A cold replica with no room left is never
-    /// drawn, whatever the others look like; nor is one that just turned work away, which spaces the retries.
-    /// Where only rest keeps a sound holder from it, the part waits. Guards a part's few attempts: when a
-    /// room is lost and the rest is full, they would be spent on the dead, which are all that does not rest.
+    /// drawn, nor is one that just turned work away. Where only rest keeps a sound holder from it, the part
+    /// waits. Guards a part's few attempts: they would be spent on a lost room, which does not rest.
     fn candidates(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let mut all = self.holders(shard);
         let now = self.now;
@@ -371,8 +367,8 @@
         safe && idle && room && self.may_add(Why::Copy)
     }
 
-    /// The cap on attempts beyond a part's first: the told budget, or our own where none is told, so that
-    /// retries and hedges cannot feed an overload. Our own leaves out retries of parts that failed.
+    /// The cap on attempts beyond a part's first, told or our own. Guards against retries and hedges that
+    /// feed an overload. Our own leaves out retries of parts that failed.
     fn may_add(&mut self, why: Why) -> bool {
         let budget = self.s.budget.unwrap_or(OWN_BUDGET);
         let edge = 2.0 * self.s.round;
@@ -404,8 +400,6 @@
         }
     }
 
-    // Attempts.
-
     fn send(&mut self, part: PartId, replica: ReplicaId, why: Option<Why>) {
         let (reaped, between) = (self.reaped(), self.between());
         let (Some(p), Some(r)) = (self.parts.get_mut(&part), self.replicas.get_mut(&replica)) else { return };
@@ -471,9 +465,9 @@
             return (!part.served).then_some(if failed { Why::Failed } else { Why::Retry });
         }
         let (now, hedge_after) = (self.now, HEDGE_TAIL * self.pace.tail);
-        let bad = |r: &Replica| r.until(part.class) > self.now || r.out.values().any(|f| f.silent);
-        let lost = |r: &Replica| bad(r) || self.room_lost(r.listed.zone);
-        let suspect = |a: &Attempt| self.replicas.get(&a.replica).is_none_or(lost);
+        let bad = |r: &Replica| r.until(part.class) > now || r.out.values().any(|f| f.silent);
+        let bad = |r: &Replica| bad(r) || self.room_lost(r.listed.zone);
+        let suspect = |a: &Attempt| self.replicas.get(&a.replica).is_none_or(bad);
         match out.clone().all(|a| suspect(a) && self.now > a.sent) {
             true => Some(Why::Retry),
             // Guards against hedging all that is out when nothing reaches us at all.
@@ -481,9 +475,11 @@
         }
     }
 
-    /// Another attempt beside at most one that is out, elsewhere if there is an elsewhere. A hedge goes where
-    /// an answer came in time just now. Guards a jammed stretch, where all is late: hedges double its load.
+    /// Another attempt beside at most one that is out, elsewhere if there is an elsewhere. Where replicas are
+    /// met less often than news of them holds, a hedge goes where an answer came in time just now. Guards a
+    /// jammed stretch, where all is late: hedges double its load.
     fn again(&mut self, class: &Class, id: PartId, why: Why) {
+        let blind = why == Why::Hedge && self.fleet.seldom;
         let Some(part) = self.parts.get(&id) else { return };
         let out = part.attempts.iter().filter(|a| a.ended.is_none() && !a.cancelled);
         let busy: Vec<_> = out.map(|a| a.replica).collect();
@@ -496,7 +492,7 @@
         }
         let pair = self.draw(in_class, shard, &tried);
         let fresh = |r: &Replica| self.now - r.took_at < STALE && r.took <= self.pace.tail;
-        let good = |id: &ReplicaId| !busy.contains(id) && (why != Why::Hedge || fresh(&self.replicas[id]));
+        let good = |id: &ReplicaId| !busy.contains(id) && (!blind || fresh(&self.replicas[id]));
         if let Some(replica) = self.shorter(&pair).filter(good) {
             if crowded {
                 self.cancel_part(id);
@@ -559,8 +555,6 @@
         }
     }
 
-    // Health.
-
     /// Response times of the whole fleet, by which each replica and each part is judged.
     fn measure(&mut self, id: ReplicaId, took: f64) {
         let usual = self.usual_time(id);
@@ -605,8 +599,6 @@
                     self.recent.suspect = self.now + SUSPECT;
                 }
                 r.used = 0.0;
-                // Guards a part's few attempts: where the others rest it alone is left, and they would all be
-                // spent on it within a millisecond.
                 if outcome == Outcome::NoConnection {
                     (r.rest, r.full) = (now + FULL_REST, 0);
                 }
@@ -624,7 +616,7 @@
     }
 
     /// No answer. Where mainly what follows a pause goes unanswered, a connection was dropped unseen: the
-    /// replica is sound and only loses the connection. What is sent on a used or new one tells the two apart.
+    /// replica is sound.
     fn unanswered(&mut self, id: ReplicaId, flight: Flight, gain: f64) {
         let loss = &mut self.recent.unanswered[usize::from(flight.paused)];
         *loss += GAIN * (1.0 - *loss);
@@ -660,8 +652,8 @@
         }
     }
 
-    /// Guards against queries that bring down whatever begins their parts: several replicas break while they
-    /// hold parts of one query and hardly any serves it. It ends there: no retry takes it to a third replica.
+    /// Guards against queries that bring down whatever begins their parts: it ends once several replicas
+    /// broke and hardly any served it.
     fn testify(&mut self, part: PartId, replica: ReplicaId, outcome: Outcome) {
         let number = self.parts.get(&part).map(|p| p.number);
         let Some(q) = number.and_then(|n| self.queries.get_mut(&n)) else { return };
@@ -671,8 +663,8 @@
         }
     }
 
-    /// Seen deaths make queries of many parts suspect, whoever sent them: each tries one part first, so sound
-    /// ones are served and a deadly one breaks one replica only. May hurt by the time of one part.
+    /// Seen deaths make queries of many parts suspect: each tries one part first, so that a deadly one breaks
+    /// one replica only.
     fn on_probation(&self, query: &Query) -> bool {
         query.served == 0 && query.parts.len() > FEW_PARTS && self.recent.suspect > self.now
     }
@@ -701,18 +693,15 @@
         }
     }
 
-    /// Whether a whole room is out of the draw. Guards parts where each replica is met seldom: learnt
-    /// one by one, a lost room is known when it is back. A part tries it as often as one replica is met.
+    /// Whether a whole room is out of the draw. Guards parts where each replica is met seldom: learnt one by
+    /// one, a lost room is known when it is back.
     fn room_lost(&self, zone: ZoneId) -> bool {
         self.fleet.rooms.get(&zone).is_some_and(|room| room.until.is_some_and(|until| until > self.now))
     }
 
-    // Slow start.
-
     /// Whether a cold replica stands another part from us: our share of what it may get in any window, by
-    /// what a warm one serves us: while many are cold, more than the average. A share of less than one part
-    /// waits for as many windows as make up one, from a random point on, so that co-ordinators don't meet
-    /// there. Just after our start, what our former life sent is unknown, so a window passes first.
+    /// what a warm one serves us; under one part, one in as many windows as make it up, from a random point
+    /// on. Just after our start, what our former life sent is unknown: a window passes first.
     fn cold_room(&mut self, id: ReplicaId) -> bool {
         let (Some(rule), now) = (self.s.cold, self.now) else { return true };
         let Some(r) = self.replicas.get_mut(&id) else { return false };
@@ -746,8 +735,6 @@
         }
     }
 
-    // Admission.
-
     fn take_query(&mut self, event: &Event) {
         let &Event::Query { query, number, class: class_id, tenant, patience, repeat, .. } = event else {
             return;
@@ -771,8 +758,8 @@
         }
     }
 
-    /// How long the client has waited before this try: one that may last clearly less than is usual for its
-    /// class is bounded by the class's deadline instead, so the rest has passed.
+    /// How long the client has waited before this try: one that may last clearly less than usual is bounded
+    /// by the class's deadline instead.
     fn waited(&mut self, id: ClassId, class: &Class, patience: f64) -> f64 {
         let usual = self.usual.entry(id).or_insert(patience);
         *usual *= if patience < *usual { 1.0 - USUAL_STEP } else { 1.0 + USUAL_STEP };
@@ -792,12 +779,11 @@
 
     /// The present response time of parts. Without news it decays: refusals keep it from being measured.
     fn delay_now(&self) -> f64 {
-        let silence = self.now - self.pace.served;
-        self.pace.delay * 0.5f64.powf(silence / DELAY_HALF)
+        self.pace.delay * 0.5f64.powf((self.now - self.pace.served) / DELAY_HALF)
     }
 
-    /// The number of parts that may be open grows while they come back well within what their class's aim
-    /// leaves for one, and shrinks when they don't or are turned away, once a response time at most.
+    /// The number of parts that may be open grows while they come back well within their class's aim, and
+    /// shrinks when they don't or are turned away, once a response time at most.
     fn steer(&mut self, part: PartId, outcome: Outcome) {
         let number = self.parts.get(&part).map(|p| p.number);
         let Some(class) = number.and_then(|n| self.queries.get(&n)).map(|q| q.class) else { return };
@@ -828,8 +814,8 @@
         self.queries.values().filter(|q| q.admitted).map(room).sum()
     }
 
-    /// Let waiting queries in while there is room, the worthiest for their parts first, then the newest: they
-    /// have their aim still before them. Nothing of a query that must wait is sent.
+    /// Let waiting queries in while there is room, the worthiest for their parts first, then the newest.
+    /// Nothing of a query that must wait is sent.
     fn admit(&mut self) {
         if self.pace.limit == 0.0 {
             let all = f64::from(self.s.coordinators.max(1));
@@ -857,12 +843,19 @@
         q.class.worth / parts.max(1.0) * if over { self.s.over_share_worth } else { 1.0 }
     }
 
-    /// How long a query of this class takes from its first send, as parts go now.
+    /// How long a query of this class takes from its first send, as parts go now; where replicas are met
+    /// seldom, as our last queries went, if that is longer. Guards against a jam of a few replicas, which the
+    /// mean part hides, and against an overload that is forgotten before our next query is here.
     fn expected(&self, class: &Class) -> f64 {
-        self.delay_now() * QUERY_STRETCH * if class.second_step > 0 { STEPS_STRETCH } else { 1.0 }
+        let seldom = if self.fleet.seldom { self.query_now() } else { 0.0 };
+        let steps = if class.second_step > 0 { STEPS_STRETCH } else { 1.0 };
+        seldom.max(self.delay_now() * QUERY_STRETCH) * steps
     }
 
-    // Answering.
+    fn query_now(&self) -> f64 {
+        let pause = RECENT / (self.recent.taken.len() - self.recent.arrived.len()).max(1.0);
+        self.pace.query * 0.5f64.powf((self.now - self.pace.ended) / (QUERY_PAUSES * pause))
+    }
 
     fn work(&mut self, number: QueryNumber) {
         let Some(mut query) = self.queries.remove(&number) else { return };
@@ -905,18 +898,27 @@
         let due = over || self.now >= query.aim - reserve || hope <= share + ROUNDING;
         let begun = !first || held.iter().any(|p| !p.attempts.is_empty());
         // Not begun, and it cannot be done within its aim as parts go now.
-        let wide = 1.0 + WIDER * (held.len().max(WIDE) as f64 / WIDE as f64).ln();
-        let hopeless = !begun && query.aim > self.now && self.now + wide * self.expected(&class) > query.aim;
+        let takes = wide(held.len()) * self.expected(&class);
+        let hopeless = !begun && query.aim > self.now && self.now + takes > query.aim;
         let streams = held.iter().any(|p| p.over && p.out());
         let worthless = first && self.now > query.aim && class.late_worth <= 0.0 && !streams;
-        if whole || (floor < need && share >= floor - ROUNDING && share > 0.0 && due) {
+        let sent = held.iter().flat_map(|p| &p.attempts).map(|a| a.sent).fold(f64::INFINITY, f64::min);
+        let done = whole || (floor < need && share >= floor - ROUNDING && share > 0.0 && due);
+        let lost = over || worthless || hope < floor - ROUNDING;
+        if first && sent < self.now && (done || lost) {
+            // One that was given up took its aim at least; twice that says it all.
+            let took = (self.now - sent).clamp(if done { 0.0 } else { class.aim }, 2.0 * class.aim);
+            let took = took / wide(held.len());
+            (self.pace.query, self.pace.ended) = (0.5 * (took + self.query_now()), self.now);
+        }
+        if done {
             let whole = whole && query.first.unwrap_or(true);
             self.out.push(Action::Answer { query: query.id, whole });
             query.first = Some(whole);
             return if second { Verdict::Step } else { Verdict::Over };
         }
         let deadly = query.deadly(if self.on_probation(query) { 1 } else { 2 });
-        if over || worthless || deadly || hopeless || hope < floor - ROUNDING {
+        if lost || deadly || hopeless {
             self.give_up(query);
             return Verdict::Over;
         }
@@ -934,8 +936,8 @@
         }
     }
 
-    /// Send what a query still needs: parts not sent yet as far as its class needs them, then another
-    /// attempt, or a spare part, for each that is late.
+    /// Send what a query still needs: parts not sent yet, as far as needed, then another attempt for late
+    /// ones.
     fn advance(&mut self, query: &Query) {
         let mut order: Vec<(u32, PartId)> = Vec::new();
         let (mut covered, mut late) = (0.0, Vec::new());
@@ -982,11 +984,9 @@
     }
 }
 
-impl Query {
-    /// Whether so many replicas broke over its parts, and more than served one.
-    fn deadly(&self, least: usize) -> bool {
-        self.broke.len() >= least && self.broke.len() > self.served as usize
-    }
+/// How much longer a query of so many parts takes than a narrow one.
+fn wide(parts: usize) -> f64 {
+    1.0 + WIDER * (parts.max(WIDE) as f64 / WIDE as f64).ln()
 }
 
 impl Blame {
@@ -1009,15 +1009,3 @@
         }
     }
 }
-
-impl Replica {
-    /// Left alone: it is full, until half of what it held of ours is answered, or it could not be reached.
-    fn rests(&self, now: f64) -> bool {
-        self.rest > now && 2 * self.out.len() >= self.full
-    }
-
-    fn usable(&self, class: ClassId, now: f64) -> bool {
-        let tried = self.whole.trials > 0 || self.classes.get(&class).is_some_and(|b| b.trials > 0);
-        self.until(class) <= now && (!tried || self.out.is_empty())
-    }
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,10 @@
     pub fn add(&mut self, now: f64) {
         self.0.push_back(now);
     }
+    /// How many there are, as last trimmed.
+    pub fn len(&self) -> f64 {
+        self.0.len() as f64
+    }
     pub fn count(&mut self, since: f64) -> f64 {
         while self.0.front().is_some_and(|t| *t < since) {
             self.0.pop_front();
@@ -62,6 +66,9 @@
     pub served: f64,
     pub limit: f64,
     pub eased: f64,
+    /// How long the last queries took, as narrow ones, and when the last one ended.
+    pub query: f64,
+    pub ended: f64,
 }
 
 pub struct Attempt {
@@ -115,6 +122,13 @@
     }
 }
 
+impl Query {
+    /// Whether so many replicas broke over its parts, and more than served one.
+    pub fn deadly(&self, least: usize) -> bool {
+        self.broke.len() >= least && self.broke.len() > self.served as usize
+    }
+}
+
 /// An attempt that a replica owes an answer for.
 #[derive(Clone, Copy, Default)]
 pub struct Flight {
@@ -137,6 +151,8 @@
     pub average: f64,
     /// Over half of them owe an answer, and none at all has come lately: it is not the replicas.
     pub stalled: bool,
+    /// A replica is met less often than news of it holds: what is seen must last until the next meeting.
+    pub seldom: bool,
     pub rooms: BTreeMap<ZoneId, Room>,
 }
 
@@ -212,6 +228,16 @@
         self.listed.started.filter(|start| rule.is_some_and(|rule| now - start < rule.ramp))
     }
 
+    /// Left alone: it is full, until half of what it held of ours is answered, or it could not be reached.
+    pub fn rests(&self, now: f64) -> bool {
+        self.rest > now && 2 * self.out.len() >= self.full
+    }
+
+    pub fn usable(&self, class: ClassId, now: f64) -> bool {
+        let tried = self.whole.trials > 0 || self.classes.get(&class).is_some_and(|b| b.trials > 0);
+        self.until(class) <= now && (!tried || self.out.is_empty())
+    }
+
     /// Until when it is out of the draw for a class.
     pub fn until(&self, class: ClassId) -> f64 {
         self.whole.until.max(self.classes.get(&class).map_or(0.0, |b| b.until))
