Read discovery's lists up to 4 MiB: 64 KiB refused those of some 450 servers

Line at fault: `Discovery::follow`, `http::MOST_BODY`.

Change: a bound of its own, MOST_LIST; memory is still taken as bytes come, and given back. Clients' bodies keep 64 KiB. A whole list was compared with what is known in time quadratic in its length (`Nodes::keep_only`); it is a set now.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -23,6 +23,9 @@
 const HOLD: Duration = Duration::from_secs(8);
 const GRACE: Duration = Duration::from_secs(2);
 const CONNECT: Duration = Duration::from_secs(1);
+/// The largest list: some ten thousand data nodes with long names. Only what comes is held in memory, and not for
+/// longer than it is read; the bound guards that memory against an answer that never ends.
+const MOST_LIST: usize = 4 << 20;
 
 #[derive(Debug, Deserialize)]
 pub struct List<'a> {
@@ -98,7 +101,7 @@
         let clock = self.core.clock();
         let entries: Vec<Listed> = list.hosts.iter().filter_map(|h| self.entry(h, &clock)).collect();
         if news != News::Delta {
-            self.nodes.keep_only(&entries.iter().map(|e| e.replica).collect::<Vec<_>>());
+            self.nodes.keep_only(&entries.iter().map(|e| e.replica).collect());
         }
         info!(self.log, "list of data nodes"; "seq" => list.seq, "whole" => news != News::Delta,
             "entries" => entries.len());
@@ -176,7 +179,7 @@
             let call = format!("GET /catalog/members{changes} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
             let answer = async {
                 stream.write_all(call.as_bytes()).await?;
-                http::read(&mut stream, &mut buffer, Kind::Answer, http::MOST_BODY).await
+                http::read(&mut stream, &mut buffer, Kind::Answer, MOST_LIST).await
             };
             let answer = by(latest, answer).await.ok_or(DiscoveryError::Silent)??;
             if answer.status != 200 {
--- a/src/net/nodes/mod.rs
+++ b/src/net/nodes/mod.rs
@@ -3,7 +3,7 @@
 mod exchange;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -147,7 +147,7 @@
     }
 
     /// A whole list names all there are; the others are gone.
-    pub fn keep_only(&self, listed: &[ReplicaId]) {
+    pub fn keep_only(&self, listed: &BTreeSet<ReplicaId>) {
         for (id, node) in self.nodes.borrow_mut().iter_mut() {
             if !listed.contains(id) {
                 node.phase = Phase::Gone;
