--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -299,7 +299,7 @@
     let nodes = Nodes::new(told(address), room(8), Rc::new(LocalExecutor::new()), log);
     let list = |n: u32, phase| nodes.list(&Entry { name: format!("n{n}"), address, phase, born: 0 });
     let first: Vec<_> = (0..3).map(|n| list(n, Phase::Ready)).collect();
-    nodes.keep_only(&first[1..]);
+    nodes.keep_only(&first[1..].iter().copied().collect());
     let now = Instant::now();
     nodes.forget(now + Duration::from_secs(10));
     assert_eq!((nodes.known(), list(0, Phase::Gone)), (3, first[0]), "it may come back");
