Name the members of a fleet, agreed configurations and the group of each piece of work

Need: work that outlives its coordinator is held by an owner and its guards, who must come out the same at every member. Nothing of it runs yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod balance;
 pub mod cli;
 pub mod core;
+pub mod fleet;
 pub mod interface;
 pub mod net;
 pub mod operator;
