Begin a silent watch on discovery anew within the time that is left for it

All 294 watches fell silent from the start; `discovery.rs` asked with wait=8000 and gave the watch up 2 s after that, at 10.02 s, just when what it missed counted as told; then came the module's RENEW (0.5 s) and, as all coordinators ask in step, up to 1.6 s of waiting for a turn at discovery: the list was in at 12.14 s. Change: a call waits 2 s, an answer is missed half a second later, and a silent watch is begun anew at once, without the module. The figures follow from the terms (6 s until it counts as told, 2 s for a call's turn) and are asserted beside them: two silent watches in a row, or a call that waits its whole turn, still leave a second. Ruled out: 4 s, whose renewal may wait its turn past the 6 s; a second call beside the first, which costs a turn of its own.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,10 +18,19 @@
 use crate::core::{Clock, Core};
 use crate::interface::*;
 
-/// How long discovery may hold a call. A change counts as told two seconds after that, come what may, and so
-/// long we wait for the answer before we ask anew.
-const HOLD: Duration = Duration::from_secs(8);
-const GRACE: Duration = Duration::from_secs(2);
+/// What a watch that has fallen silent misses counts as told so long after that, come what may; it may fall silent
+/// as soon as it is begun.
+const TOLD: Duration = Duration::from_secs(6);
+/// How long a call may wait for its turn at discovery before that ends it.
+const TURN: Duration = Duration::from_secs(2);
+/// How long an answer that brings nothing may come behind its wait: up to 0.39 s was seen behind a crowd of calls.
+const LATE: Duration = Duration::from_millis(500);
+/// How long discovery may hold a call. Guards against sending to what drains on a list that fell silent: within what
+/// counts as told, silence is found, a call is ended behind its turn, and another still has one second.
+const HOLD: Duration = Duration::from_secs(2);
+const _: () = assert!(HOLD.as_millis() + LATE.as_millis() + TURN.as_millis() + 1000 < TOLD.as_millis());
+/// The same where the new watch is silent too.
+const _: () = assert!(2 * (HOLD.as_millis() + LATE.as_millis()) + 1000 <= TOLD.as_millis());
 const CONNECT: Duration = Duration::from_secs(1);
 /// The largest list: some ten thousand data nodes with long names. Only what comes is held in memory, and not for
 /// longer than it is read; the bound guards that memory against an answer that never ends.
@@ -63,6 +72,9 @@
     Http(HttpError),
     Status(u16),
     List(serde_json::Error),
+    /// No connection came up in time.
+    Unreachable,
+    /// The watch brought nothing, not even the end of its wait.
     Silent,
 }
 
@@ -72,6 +84,7 @@
             DiscoveryError::Http(e) => write!(f, "{e}"),
             DiscoveryError::Status(s) => write!(f, "status {s}"),
             DiscoveryError::List(e) => write!(f, "unusable list: {e}"),
+            DiscoveryError::Unreachable => f.write_str("no connection in time"),
             DiscoveryError::Silent => f.write_str("no answer in time"),
         }
     }
@@ -154,8 +167,17 @@
                 (self.address, seq) = (address, None);
             }
             let failed = async {
-                let Err(e) = self.follow(&mut seq).await;
-                Err(e)
+                loop {
+                    match self.follow(&mut seq).await {
+                        // A silent watch is broken, and what it misses will count as told: it is begun anew at once,
+                        // not when the module next asks for one.
+                        Err(DiscoveryError::Silent) => {
+                            warn!(self.log, "watch on discovery fell silent"; "address" => %self.address, "seq" => seq);
+                        }
+                        Err(e) => return Err(e),
+                        Ok(never) => match never {},
+                    }
+                }
             };
             match async { Ok(moved().await) }.or(failed).await {
                 Ok(address) => to = address,
@@ -173,7 +195,7 @@
         let mut buffer = Buffer::default();
         let mut stream = self.connect().await?;
         loop {
-            let latest = Instant::now() + HOLD + GRACE;
+            let latest = Instant::now() + HOLD + LATE;
             let changes =
                 seq.map(|seq| format!("?index={seq}&wait={}", HOLD.as_millis())).unwrap_or_default();
             let call = format!("GET /catalog/members{changes} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
@@ -203,6 +225,6 @@
     async fn connect(&self) -> Result<Async<TcpStream>, DiscoveryError> {
         let latest = Instant::now() + CONNECT;
         let stream = by(latest, Async::<TcpStream>::connect(self.address)).await;
-        Ok(stream.ok_or(DiscoveryError::Silent)??)
+        Ok(stream.ok_or(DiscoveryError::Unreachable)??)
     }
 }
