--- /dev/null
+++ b/src/core/query.rs
@@ -0,0 +1,165 @@
+//! A query and its life in the core: what a front hands in, the hold it keeps, and the one final outcome.
+use std::rc::{Rc, Weak};
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::FutureExt;
+
+use super::{Core, Open, State, Transport};
+use crate::interface::*;
+
+/// A query as a front hands it in; `carried` is what the transport needs of it.
+pub struct Query<C> {
+    pub class: ClassId,
+    pub deadline: Instant,
+    pub repeat: bool,
+    pub parts: Vec<(ShardId, f64)>,
+    pub carried: C,
+}
+
+/// The value of a part, as a replica gave it.
+pub type Value = Rc<[u8]>;
+
+/// The final outcome of a query.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    Answered {
+        whole: bool,
+        values: Vec<(ShardId, Value)>,
+    },
+    /// Trying again is harmless, best after so many seconds.
+    Refused {
+        retry_after: Option<f64>,
+    },
+    Failed,
+    /// Its time ran out before the module ended it.
+    Overdue,
+}
+
+/// Which step of its query a part belongs to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    First,
+    /// The shards that were in when the first step was answered, and whether that was whole.
+    Second {
+        from: Rc<[ShardId]>,
+        whole: bool,
+    },
+}
+
+/// A query that was taken. Dropping it before its final outcome withdraws it.
+pub struct Taken<T: Transport> {
+    core: Weak<Core<T>>,
+    query: QueryId,
+    deadline: Instant,
+    carried: Rc<T::Carried>,
+    done: Receiver<Final>,
+}
+
+impl<T: Transport> Taken<T> {
+    /// When its client's time is up.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// What the front handed in, while the query is open; for a front that streams.
+    pub fn carried(&self) -> Rc<T::Carried> {
+        self.carried.clone()
+    }
+
+    /// The final outcome. Guards against a query that the module forgets: it ends with its time.
+    pub async fn outcome(&self) -> Final {
+        let ended = async { self.done.recv().await.unwrap_or(Final::Failed) };
+        let overdue = async {
+            Timer::at(self.deadline).await;
+            Final::Overdue
+        };
+        ended.or(overdue).await
+    }
+}
+
+impl<T: Transport> Drop for Taken<T> {
+    fn drop(&mut self) {
+        if let Some(core) = self.core.upgrade() {
+            core.withdraw(self.query);
+        }
+    }
+}
+
+impl<T: Transport> Core<T> {
+    /// Take a query; all its parts enter in one round. `None`: as many queries and parts are open as may be.
+    pub fn take(self: &Rc<Self>, query: Query<T::Carried>) -> Option<Taken<T>> {
+        let state = &mut *self.state.borrow_mut();
+        self.count(|c| c.taken += 1);
+        // Full at that count, as in the simulator. Guards against turning away a query that merely would
+        // reach it: of three long queries, the limit's least, the third. Parts of ended queries hold no room.
+        if state.full(self.max_open) {
+            self.count(|c| c.full += 1);
+            return None;
+        }
+        let now = Instant::now();
+        let id = QueryId(state.id());
+        let (number, (send, done)) = (QueryNumber(id.0), async_channel::bounded(1));
+        state.events.push(Event::Query {
+            query: id,
+            number,
+            class: query.class,
+            tenant: TenantId(0),
+            patience: query.deadline.saturating_duration_since(now).as_secs_f64(),
+            parts: query.parts.len() as u32,
+            repeat: query.repeat,
+        });
+        let mut open = Open {
+            number,
+            class: query.class,
+            deadline: query.deadline,
+            carried: Rc::new(query.carried),
+            parts: Vec::new(),
+            second: false,
+            done: send,
+        };
+        state.enter(id, &mut open, Step::First, &query.parts);
+        let carried = open.carried.clone();
+        state.open.insert(id, open);
+        self.wake.notify(1);
+        Some(Taken { core: Rc::downgrade(self), query: id, deadline: query.deadline, carried, done })
+    }
+
+    fn withdraw(&self, id: QueryId) {
+        let mut state = self.state.borrow_mut();
+        if let Some(open) = state.open.remove(&id) {
+            open.parts.iter().for_each(|p| drop(state.leave(*p)));
+            state.events.push(Event::Withdrawn { query: id });
+            self.count(|c| c.withdrawn += 1);
+            self.wake.notify(1);
+        }
+    }
+
+    /// End the query with what is in, or, at the first answer of a class of two steps, begin the second at
+    /// the best shards that are in.
+    pub(super) fn answer(&self, state: &mut State<T::Carried>, id: QueryId, whole: bool) {
+        let Some(mut open) = state.open.remove(&id) else { return };
+        let parts = std::mem::take(&mut open.parts);
+        let mut values = Vec::new();
+        for part in parts.iter().filter_map(|p| state.leave(*p)) {
+            values.extend(part.value.map(|(value, score)| (part.shard, value, score)));
+        }
+        let class = self.settings.classes.get(usize::from(open.class.0));
+        let second = class.map_or(0, |c| c.second_step as usize).min(values.len());
+        if second > 0 && !open.second {
+            let from: Rc<[ShardId]> = values.iter().map(|v| v.0).collect();
+            values.sort_by(|a, b| b.2.total_cmp(&a.2).then(a.0.cmp(&b.0)));
+            let best: Vec<_> = values[..second].iter().map(|v| (v.0, 1.0 / second as f64)).collect();
+            open.second = true;
+            state.enter(id, &mut open, Step::Second { from, whole }, &best);
+            state.open.insert(id, open);
+            self.wake.notify(1);
+            return;
+        }
+        self.count(|c| if whole { c.whole += 1 } else { c.partial += 1 });
+        let values = values.into_iter().map(|(shard, value, _)| (shard, value)).collect();
+        // Only a front that has gone away is not there to take it.
+        drop(open.done.try_send(Final::Answered { whole, values }));
+    }
+}
