Record twenty seeded streams of events and a hash of the module's actions over each

src/balance.rs is to be split into files, and its form must be shown not to change what it decides. Each stream is a small world of servers and clients with its own seed that reacts to the module's actions over 4,000 rounds: one and two steps, partial answers, unsafe and keyed classes, the cold rule, a told budget, tenants, overload, probes, a list that is asked for, no reports, zones lost, fleets seldom met, deaths, drains, clients that leave, streamed values, no cancel, no second copies, connections dropped unseen, and times when nothing gets through. The hashes are those of the present code, the module unsplit.

--- /dev/null
+++ b/tests/recorded.rs
@@ -0,0 +1,144 @@
+//! Recorded streams of events: the same events and seed give the same actions as when they were recorded, so
+//! that a change of the module's form is shown to be no change of what it decides. A change that means to
+//! decide otherwise records them anew, from what the failing test prints.
+//!
+//! Each stream is a small world of servers and clients with its own seed, which reacts to the module's
+//! actions: an attempt that was sent has an outcome a while later, also when its query is over.
+use std::hash::Hasher;
+
+use marlgap::interface::*;
+
+mod common;
+use common::class;
+#[path = "recorded/world.rs"]
+mod world;
+use world::{Plan, World};
+
+/// Two seconds to answer well, and all told; what the streams have in common.
+fn base() -> Plan {
+    let settings = Settings {
+        classes: vec![class()],
+        cells: 3,
+        reach: 2,
+        reports: Reports::Inline,
+        round: 0.01,
+        most_tries: 4,
+        retry_after: Some(2.0),
+        ..Settings::default()
+    };
+    Plan {
+        settings,
+        servers: 12,
+        zones: 2,
+        queries: 30.0,
+        parts: (1, 4),
+        service: 0.02,
+        faults: 0.01,
+        churn: 0.5,
+        rooms: 0.0,
+        stalls: 0.0,
+        left: 0.0,
+        reused: 0.0,
+        deadly: 0.0,
+        streamed: 0.0,
+        reaps: false,
+        full: 12,
+        burst: 1.0,
+    }
+}
+
+/// The streams: name, the hash of all actions as recorded, and how the plan differs from the common one.
+type Stream = (&'static str, u64, fn(&mut Plan));
+const COLD: ColdRule = ColdRule { from: 0.2, ramp: 12.0, multiple: 1.5, after: 1.0 };
+const STREAMS: &[Stream] = &[
+    ("one step", 0xc03c_52a5_d3cd_fd8d, |_| ()),
+    ("a second step of one and of three", 0x54fa_2880_36ad_d020, |p| {
+        let (one, three) =
+            (Class { second_step: 1, ..class() }, Class { second_step: 3, floor: 0.5, ..class() });
+        (p.settings.classes, p.parts) = (vec![one, three], (3, 8));
+    }),
+    ("partial answers, worthless late", 0x0906_d03b_47ae_5f2a, |p| {
+        let part = Class { need: 0.8, floor: 0.4, late_worth: 0.0, ..class() };
+        (p.settings.classes, p.parts, p.churn, p.faults) = (vec![part], (5, 10), 2.0, 0.03);
+    }),
+    ("unsafe, keyed and safe classes", 0x8073_1fe3_713b_c1df, |p| {
+        let keyed = Class { effect: Effect::Keyed { window: 0.8 }, ..class() };
+        let alone = Class { copies: false, ..class() };
+        p.settings.classes = vec![class(), keyed, Class { effect: Effect::Unsafe, ..class() }, alone];
+        (p.churn, p.faults) = (2.0, 0.02);
+    }),
+    ("cold rule", 0x366c_8d8f_d090_1d95, |p| {
+        (p.settings.cold, p.settings.coordinators, p.churn, p.servers) = (Some(COLD), 3, 3.0, 24)
+    }),
+    ("told budget, overload", 0x8957_38c6_2fbe_c9b6, |p| {
+        p.settings.budget = Some(Budget { free: 2.0, share: 0.1, window: 3.0 });
+        (p.queries, p.burst, p.full, p.settings.retry_after) = (60.0, 4.0, 6, None);
+    }),
+    ("tenants, overload", 0xb821_78b2_078a_ea4a, |p| {
+        p.settings.tenants = vec![Tenant { quota: 5.0 }, Tenant { quota: 40.0 }, Tenant { quota: f64::MAX }];
+        (p.settings.over_share_worth, p.queries, p.burst, p.service) = (0.2, 60.0, 5.0, 0.08);
+        (p.settings.classes, p.settings.round) = (vec![class(), Class { worth: 3.0, ..class() }], 0.005);
+    }),
+    ("probes", 0x41d6_ad86_039c_7cbb, |p| {
+        (p.settings.reports, p.settings.probes, p.queries) = (Reports::OnProbe, true, 60.0)
+    }),
+    ("asked for the list", 0xe985_3be5_3ec3_f46d, |p| {
+        (p.settings.discovery, p.churn) = (Discovery::Ask { within: 10.0 }, 4.0)
+    }),
+    ("no reports", 0xc41b_83c5_1c52_b1ae, |p| {
+        (p.settings.reports, p.settings.coordinators) = (Reports::Off, 2)
+    }),
+    ("zones lost", 0x20a1_27f6_a032_24bd, |p| {
+        (p.servers, p.zones, p.rooms, p.queries, p.settings.zone) = (80, 16, 0.3, 90.0, ZoneId(3));
+        (p.settings.cells, p.settings.reach) = (5, 1);
+    }),
+    ("seldom met", 0x4e03_d587_fd60_5f96, |p| {
+        (p.servers, p.zones, p.queries, p.settings.cells, p.settings.reach) = (400, 4, 15.0, 40, 2);
+        (p.churn, p.rooms, p.settings.cold, p.settings.round) = (12.0, 0.1, Some(COLD), 0.02);
+    }),
+    ("wide queries, deaths", 0x79b6_e733_c1e1_c7b5, |p| {
+        (p.parts, p.deadly, p.queries, p.servers, p.settings.cells) = ((1, 40), 0.03, 8.0, 36, 9);
+    }),
+    ("drains and returns", 0x9510_9e69_a450_3c43, |p| (p.churn, p.settings.round) = (12.0, 0.03)),
+    ("left by clients, numbers used again, shared calls", 0xb613_ea3e_7823_b57c, |p| {
+        (p.left, p.reused, p.settings.per_call, p.parts) = (0.2, 0.05, 4, (6, 16));
+        p.settings.marks_retry = true;
+    }),
+    ("streamed", 0x9a8b_0383_54a6_1082, |p| (p.streamed, p.churn, p.faults) = (0.4, 2.0, 0.02)),
+    ("nothing called off, one attempt at a time", 0x3d58_8cbc_4927_f317, |p| {
+        (p.settings.cancel, p.settings.second_copies, p.churn, p.faults) = (false, false, 2.0, 0.02);
+    }),
+    ("two tries, nothing called off", 0x1794_6ce0_c95b_5cff, |p| {
+        (p.settings.cancel, p.settings.most_tries, p.churn) = (false, 2, 3.0)
+    }),
+    ("idle connections dropped unseen", 0x4cea_a8d2_c9dc_0257, |p| {
+        (p.reaps, p.queries, p.servers, p.churn) = (true, 10.0, 24, 0.0)
+    }),
+    ("nothing gets through at times", 0x4def_96d4_ae6e_6d45, |p| (p.stalls, p.queries) = (0.15, 60.0)),
+];
+
+#[test]
+fn the_same_events_give_the_same_actions_as_recorded() {
+    let (mut seen, mut other) = ([0; 9], Vec::new());
+    for (n, (name, recorded, differ)) in STREAMS.iter().enumerate() {
+        let mut plan = base();
+        differ(&mut plan);
+        let mut world = World::new(plan, n as u64 + 1);
+        for round in 0..4000 {
+            if round == 2000 {
+                world.plan.settings.classes.push(class());
+                world.balancer.extend(&[class()]).expect("a further class");
+            }
+            world.round();
+        }
+        assert!(world.seen[0] > 500 && world.seen[2] > 100, "{name}: little happens, {:?}", world.seen);
+        seen.iter_mut().zip(world.seen).for_each(|(all, n)| *all += n);
+        let hash = world.hash.finish();
+        println!("{hash:#018x} {:?} {name}", world.seen);
+        if hash != *recorded {
+            other.push(format!("{name}: {hash:#018x}"));
+        }
+    }
+    assert!(seen.iter().all(|n| *n > 10), "some kind of action is hardly met: {seen:?}");
+    assert!(other.is_empty(), "these streams went otherwise than recorded: {other:#?}");
+}
--- /dev/null
+++ b/tests/recorded/world.rs
@@ -0,0 +1,364 @@
+//! The world of a stream: servers and clients, their mishaps, and what becomes of the module's actions.
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+use fnv::FnvHasher;
+use marlgap::interface::*;
+use marlgap::Balancer;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// What befalls the world of a stream; shares are of attempts, rates a second.
+#[derive(Clone)]
+pub struct Plan {
+    pub settings: Settings,
+    pub servers: u64,
+    pub zones: u8,
+    pub queries: f64,
+    pub parts: (u64, u64),
+    pub service: f64,
+    pub faults: f64,
+    /// Deaths, mute and slow stretches, drains and returns of single servers; losses of a zone, and of all.
+    pub churn: f64,
+    pub rooms: f64,
+    pub stalls: f64,
+    /// Of queries: left by their client, under a number in use, deadly to the servers that begin them.
+    pub left: f64,
+    pub reused: f64,
+    pub deadly: f64,
+    pub streamed: f64,
+    /// Connections unused for half a second are dropped unseen.
+    pub reaps: bool,
+    /// Parts that a server holds at most, and how much more comes in every fourth stretch of five seconds.
+    pub full: usize,
+    pub burst: f64,
+}
+
+#[derive(Clone, Default)]
+struct Server {
+    listed: Listed,
+    held: usize,
+    used: f64,
+    dead: f64,
+    mute: f64,
+    slow: f64,
+}
+
+struct Open {
+    number: QueryNumber,
+    class: ClassId,
+    second: bool,
+    deadly: bool,
+    parts: Vec<(PartId, ShardId)>,
+}
+
+pub struct World {
+    pub plan: Plan,
+    rng: Pcg64Mcg,
+    pub balancer: Balancer,
+    now: f64,
+    next: u32,
+    servers: Vec<Server>,
+    /// Events to come, by microsecond and order.
+    due: BTreeMap<(u64, u32), Event>,
+    open: BTreeMap<QueryId, Open>,
+    tries: BTreeMap<PartId, (QueryId, u8)>,
+    out: BTreeMap<(PartId, u8), (usize, f64)>,
+    /// Of all actions so far, and how many of each kind there were.
+    pub hash: FnvHasher,
+    pub seen: [u32; 9],
+}
+
+impl World {
+    pub fn new(plan: Plan, seed: u64) -> World {
+        let balancer = Balancer::new(plan.settings.clone(), seed).expect("served");
+        let server = |n: u64| {
+            let (zone, cell) = (ZoneId((n % u64::from(plan.zones)) as u8), n / u64::from(plan.zones));
+            let cell = CellId((cell % u64::from(plan.settings.cells)) as u16);
+            let (replica, phase, weight) = (ReplicaId(n), Phase::Ready, 1.0);
+            Server {
+                listed: Listed { replica, zone, cell, phase, weight, started: None },
+                ..Server::default()
+            }
+        };
+        let servers = (0..plan.servers).map(server).collect();
+        let (rng, now, next) = (Pcg64Mcg::seed_from_u64(seed ^ 0x5eed), 100.0, 0);
+        let (due, open, tries, out, hash, seen) = Default::default();
+        let mut world = World { plan, rng, balancer, now, next, servers, due, open, tries, out, hash, seen };
+        let entries = world.list();
+        world.later(0.0, Event::Members { news: News::Cached, entries });
+        world
+    }
+
+    fn unit(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
+    }
+
+    /// Whether something happens that does so at this rate a second.
+    fn comes(&mut self, rate: f64) -> bool {
+        self.unit() < rate * self.plan.settings.round
+    }
+
+    fn below(&mut self, n: usize) -> usize {
+        (self.rng.next_u64() % n.max(1) as u64) as usize
+    }
+
+    fn id(&mut self) -> u32 {
+        self.next += 1;
+        self.next
+    }
+
+    fn later(&mut self, after: f64, event: Event) {
+        let at = ((self.now + after) * 1e6) as u64;
+        let order = self.id();
+        self.due.insert((at, order), event);
+    }
+
+    fn list(&self) -> Vec<Listed> {
+        self.servers.iter().map(|s| s.listed).filter(|l| l.phase != Phase::Gone).collect()
+    }
+
+    /// One round: what befalls the world, what is due of it, and what the module does.
+    pub fn round(&mut self) {
+        self.now += self.plan.settings.round;
+        self.befall();
+        let mut events = Vec::new();
+        while let Some((at, event)) = self.due.pop_first() {
+            if at.0 > (self.now * 1e6) as u64 {
+                self.due.insert(at, event);
+                break;
+            }
+            events.extend(self.ripe(event));
+        }
+        let burst = if (self.now / 5.0) as u64 % 4 == 3 { self.plan.burst } else { 1.0 };
+        if self.comes(self.plan.queries * burst) {
+            self.ask(&mut events);
+        }
+        for action in self.balancer.round(self.now, &events) {
+            self.hash.write(format!("{action:?}").as_bytes());
+            self.act(action);
+        }
+        self.hash.write_u64(self.balancer.known() as u64);
+    }
+
+    fn befall(&mut self) {
+        let (now, n) = (self.now, self.below(self.servers.len()));
+        let lasts = 1.0 + 4.0 * self.unit();
+        if self.comes(self.plan.stalls) {
+            self.servers.iter_mut().for_each(|s| s.mute = now + 2.0);
+        }
+        if self.comes(self.plan.rooms) {
+            let (zone, mute) = (self.servers[n].listed.zone, lasts > 3.0);
+            for s in self.servers.iter_mut().filter(|s| s.listed.zone == zone) {
+                *if mute { &mut s.mute } else { &mut s.dead } = now + lasts;
+            }
+        }
+        if !self.comes(self.plan.churn) {
+            return;
+        }
+        let (way, s) = (self.rng.next_u32() % 8, &mut self.servers[n]);
+        match (s.listed.phase, way) {
+            (Phase::Ready, 0) => return s.slow = now + lasts,
+            (Phase::Ready, 1) => return s.mute = now + lasts,
+            (Phase::Ready, 2) => return s.dead = now + lasts,
+            (Phase::Ready, 3) => (s.listed.phase, s.dead) = (Phase::Gone, f64::MAX),
+            (Phase::Ready, _) => s.listed.phase = Phase::Draining,
+            (Phase::Draining, 7) => s.listed.phase = Phase::Ready,
+            (Phase::Draining, _) => (s.listed.phase, s.dead) = (Phase::Gone, f64::MAX),
+            (Phase::Gone, 6) => {}
+            (Phase::Gone, _) => {
+                (s.listed.phase, s.listed.started, s.dead) = (Phase::Ready, Some(now - 0.1), 0.0);
+            }
+        }
+        let entry = s.listed;
+        match way {
+            4 => self.later(0.1, Event::Members { news: News::Failed, entries: Vec::new() }),
+            5 => {
+                let entries = self.list();
+                self.later(0.05, Event::Members { news: News::Full, entries });
+            }
+            _ => self.later(0.02, Event::Members { news: News::Delta, entries: vec![entry] }),
+        }
+    }
+
+    fn ask(&mut self, events: &mut Vec<Event>) {
+        let (query, id) = (QueryId(self.id()), self.below(self.plan.settings.classes.len()));
+        let (class, kind) = (ClassId(id as u16), self.plan.settings.classes[id]);
+        let tenant = TenantId(self.below(self.plan.settings.tenants.len()) as u16);
+        let mut number = QueryNumber(query.0);
+        if self.unit() < self.plan.reused {
+            number = self.open.values().next().map_or(number, |q| q.number);
+        }
+        let cut = self.unit() < 0.2;
+        let patience = kind.deadline * if cut { 0.4 } else { 1.0 };
+        let (least, most) = self.plan.parts;
+        let parts =
+            if kind.effect == Effect::Unsafe { 1 } else { least + self.rng.next_u64() % (most - least + 1) };
+        events.push(Event::Query {
+            query,
+            number,
+            class,
+            tenant,
+            patience,
+            parts: parts as u32,
+            repeat: cut,
+        });
+        let deadly = self.unit() < self.plan.deadly;
+        self.open.insert(query, Open { number, class, second: false, deadly, parts: Vec::new() });
+        let shards: Vec<_> = (0..parts).map(|_| ShardId(self.rng.next_u32() % 97)).collect();
+        self.enter(query, &shards, events);
+        if self.unit() < self.plan.left {
+            let after = self.unit();
+            self.later(after, Event::Withdrawn { query });
+        }
+    }
+
+    fn enter(&mut self, query: QueryId, shards: &[ShardId], events: &mut Vec<Event>) {
+        let weight = 1.0 / shards.len() as f64;
+        for &shard in shards {
+            let part = PartId(self.id());
+            self.tries.insert(part, (query, 0));
+            let open = self.open.get_mut(&query).expect("open");
+            open.parts.push((part, shard));
+            events.push(Event::Part { part, number: open.number, shard, weight });
+        }
+    }
+
+    /// An event whose time has come, unless it is overtaken: an attempt has one outcome, and begins to stream
+    /// before that.
+    fn ripe(&mut self, mut event: Event) -> Option<Event> {
+        match &mut event {
+            Event::Outcome { part, attempt, over, outcome, took, report, .. } => {
+                let (n, sent) = self.out.remove(&(*part, *attempt))?;
+                self.servers[n].held -= 1;
+                *over |= *outcome == Outcome::Served || !self.tries.contains_key(part);
+                *took = self.now - sent;
+                let inline = self.plan.settings.reports == Reports::Inline;
+                *report = inline.then(|| self.report(n));
+            }
+            Event::Committed { part, attempt, took, .. } => {
+                *took =
+                    self.now - self.out.get(&(*part, *attempt)).filter(|_| self.tries.contains_key(part))?.1;
+            }
+            Event::Withdrawn { query } => self.end(*query)?,
+            _ => {}
+        }
+        Some(event)
+    }
+
+    /// Every third server tells no queue, every fifth neither that nor what it holds.
+    fn report(&mut self, n: usize) -> Report {
+        let held = self.servers[n].held as f64;
+        let (queue, in_flight) =
+            ((n % 3 != 1).then_some((held - 1.0).max(0.0)), (n % 5 != 1).then_some(held));
+        Report { queue, in_flight, busy: Some((held / 8.0).min(1.0)), service: None }
+    }
+
+    fn end(&mut self, query: QueryId) -> Option<()> {
+        for (part, _) in self.open.remove(&query)?.parts {
+            let (_, tries) = self.tries.remove(&part).expect("a part");
+            (0..tries).for_each(|n| self.finish(part, n, 0.003, Outcome::Cancelled));
+        }
+        Some(())
+    }
+
+    fn finish(&mut self, part: PartId, attempt: u8, after: f64, outcome: Outcome) {
+        let Some((n, _)) = self.out.get(&(part, attempt)) else { return };
+        let (replica, over) = (self.servers[*n].listed.replica, outcome == Outcome::Error && attempt == 2);
+        self.later(after, Event::Outcome { part, attempt, replica, over, outcome, took: 0.0, report: None });
+    }
+
+    fn act(&mut self, action: Action) {
+        let kind = match action {
+            Action::Send { part, replica, timeout } => {
+                self.send(part, replica.0 as usize, timeout);
+                0
+            }
+            Action::Cancel { part, attempt } => {
+                self.finish(part, attempt, 0.002, Outcome::Cancelled);
+                1
+            }
+            Action::Answer { query, .. } => {
+                let open = self.open.get_mut(&query).expect("answered once");
+                let step = self.plan.settings.classes[usize::from(open.class.0)].second_step as usize;
+                let best: Vec<_> = open.parts.iter().map(|p| p.1).take(step).collect();
+                if open.second || best.is_empty() {
+                    self.end(query);
+                } else {
+                    let first = std::mem::take(&mut open.parts);
+                    open.second = true;
+                    self.tries.retain(|part, _| first.iter().all(|(p, _)| p != part));
+                    let mut events = Vec::new();
+                    self.enter(query, &best, &mut events);
+                    events.into_iter().for_each(|e| self.later(0.0, e));
+                }
+                2
+            }
+            Action::Refuse { query, .. } => {
+                self.end(query).expect("refused once");
+                3
+            }
+            Action::Fail { query } => {
+                self.end(query).expect("failed once");
+                4
+            }
+            Action::Probe { replica } => {
+                let report = Some(self.report(replica.0 as usize));
+                self.later(0.01, Event::Probed { replica, ok: true, took: 0.01, report });
+                5
+            }
+            Action::CloseIdle { replica } => {
+                self.servers[replica.0 as usize].used = f64::MAX;
+                6
+            }
+            Action::Timer { after } => {
+                self.later(after, Event::Timer);
+                7
+            }
+            Action::Subscribe => {
+                let failed = self.unit() < 0.3;
+                let news = if failed { News::Failed } else { News::Full };
+                let entries = if failed { Vec::new() } else { self.list() };
+                self.later(0.2, Event::Members { news, entries });
+                8
+            }
+        };
+        self.seen[kind] += 1;
+    }
+
+    /// An attempt, and what will become of it.
+    fn send(&mut self, part: PartId, n: usize, timeout: Option<f64>) {
+        let (query, tries) = self.tries.get_mut(&part).expect("a part that is open");
+        let (attempt, deadly) = (*tries, self.open[&*query].deadly);
+        *tries += 1;
+        self.out.insert((part, attempt), (n, self.now));
+        let (roll, jitter, now) = (self.unit(), 0.5 + self.unit(), self.now);
+        let (faults, s) = (self.plan.faults, &mut self.servers[n]);
+        s.held += 1;
+        let reaped = self.plan.reaps && s.used > 0.0 && now > s.used + 0.5 && s.used < f64::MAX;
+        let slow = if s.slow > now { 12.0 } else { 1.0 };
+        (s.used, s.dead) = (now, if deadly { s.dead.max(now + 3.0) } else { s.dead });
+        let takes = self.plan.service * jitter * slow * (1.0 + 0.5 * s.held as f64);
+        let outcome = match (roll / faults.max(1e-9)) as u32 {
+            _ if deadly => Some((takes, Outcome::Reset)),
+            _ if s.dead > now && roll < 0.5 => Some((0.25, Outcome::NoConnection)),
+            _ if s.dead > now => Some((0.001, Outcome::NoConnection)),
+            _ if s.mute > now || reaped => None,
+            _ if s.held > self.plan.full => Some((0.002, Outcome::TurnedAway)),
+            0 => Some((takes, Outcome::Error)),
+            1 => Some((takes, Outcome::Dropped)),
+            2 => Some((takes, Outcome::Reset)),
+            3 => Some((0.0, Outcome::NotSent)),
+            4 => Some((1.0, Outcome::TimedOut)),
+            _ => Some((takes, Outcome::Served)),
+        };
+        let (after, outcome) = outcome.unwrap_or((f64::MAX, Outcome::TimedOut));
+        let limit = timeout.unwrap_or(3.0);
+        let mut end = if after > limit { (limit, Outcome::TimedOut) } else { (after, outcome) };
+        if end.1 == Outcome::Served && self.unit() < self.plan.streamed {
+            self.later(after, Event::Committed { part, attempt, replica: ReplicaId(n as u64), took: 0.0 });
+            end = (after + 4.0 * takes, if roll > 0.9 { Outcome::Reset } else { Outcome::Served });
+        }
+        self.finish(part, attempt, end.0, end.1);
+    }
+}
