--- /dev/null
+++ b/src/balance/admission.rs
@@ -0,0 +1,111 @@
+//! Queries and parts as they come in, how many parts may be open, and which waiting queries go first.
+use super::*;
+
+/// Step of the running median of a class's patience, and how far under it a try counts as cut short.
+const USUAL_STEP: f64 = 0.01;
+const USUAL_SLACK: f64 = 0.07;
+/// Parts open at the start for each replica, the least limit, its step and cut, and seconds after a cut in
+/// which its step comes back.
+const LIMIT_START: f64 = 6.0;
+const LIMIT_LEAST: f64 = 4.0;
+const LIMIT_STEP: f64 = 0.3;
+const LIMIT_CUT: f64 = 0.85;
+const EASED: f64 = 2.0;
+/// Expected time of a query over its aim, under which the limit grows and over which it shrinks.
+const STRAIN_LOW: f64 = 0.4;
+const STRAIN_HIGH: f64 = 0.5;
+
+impl Balancer {
+    pub(super) fn take_query(&mut self, event: &Event) {
+        let &Event::Query { query, number, class: id, tenant, patience, repeat, .. } = event else { return };
+        self.recent.taken.add(self.now);
+        let Some(class) = self.s.classes.get(usize::from(id.0)).copied() else {
+            return self.out.push(Action::Fail { query });
+        };
+        self.recent.tenants.entry(tenant).or_default().add(self.now);
+        // A first try, where repeats are marked, has waited for nothing: a client may simply want it soon.
+        let first_try = self.s.marks_retry && !repeat;
+        let waited = self.waited(id, &class, patience) * f64::from(u8::from(!first_try));
+        let aim = self.now + class.aim - waited;
+        let q = Query::new(query, id, class, tenant, self.now + patience, aim);
+        self.out.push(Action::Timer { after: (patience - self.margin).max(0.0) });
+        // A number used again while its query is open: the old one still gets its answer.
+        if let Some(mut old) = self.queries.insert(number, q) {
+            self.give_up(&old);
+            self.drop_parts(&mut old);
+        }
+    }
+
+    /// How long the client has waited before this try: one that may last clearly less than usual is bounded
+    /// by the class's deadline instead.
+    fn waited(&mut self, id: ClassId, class: &Class, patience: f64) -> f64 {
+        let usual = self.recent.usual.entry(id).or_insert(patience);
+        *usual *= if patience < *usual { 1.0 - USUAL_STEP } else { 1.0 + USUAL_STEP };
+        let cut = patience < *usual * (1.0 - USUAL_SLACK);
+        (class.deadline - patience).max(0.0) * f64::from(u8::from(cut))
+    }
+
+    pub(super) fn take_part(&mut self, part: PartId, number: QueryNumber, shard: ShardId, weight: f64) {
+        self.recent.taken.add(self.now);
+        self.recent.arrived.add(self.now);
+        let Some(query) = self.queries.get_mut(&number) else { return };
+        query.parts.push(part);
+        self.parts.insert(part, Part::new(number, query.in_class, shard, weight));
+    }
+
+    /// Parts that are out, and all of an admitted query on probation: what it holds back comes in one go.
+    /// Parts that wait for a retry hold no room.
+    pub(super) fn open(&self) -> f64 {
+        // What streams is past the wait that this limit is about.
+        let out = |id: &&PartId| self.parts.get(id).is_some_and(|p| !p.served && !p.over && p.out());
+        let room = |q: &Query| match self.on_probation(q) {
+            true => q.parts.len() as f64 * q.class.need,
+            false => q.parts.iter().filter(out).count() as f64,
+        };
+        self.queries.values().filter(|q| q.admitted).map(room).sum()
+    }
+
+    /// The number of parts that may be open grows while they come back well within their class's aim, and
+    /// shrinks when they don't or are turned away, once a response time at most.
+    pub(super) fn steer(&mut self, part: PartId, outcome: Outcome) {
+        let number = self.parts.get(&part).map(|p| p.number);
+        let Some(class) = number.and_then(|n| self.queries.get(&n)).map(|q| q.class) else { return };
+        let strain = self.expected(&class) / class.aim;
+        let worse = outcome == Outcome::TurnedAway || strain > STRAIN_HIGH;
+        if worse && self.now - self.pace.eased > self.pace.typical {
+            self.pace.eased = self.now;
+            self.pace.limit = (self.pace.limit * LIMIT_CUT).max(LIMIT_LEAST);
+        } else if outcome == Outcome::Served && strain < STRAIN_LOW && self.open() > 0.5 * self.pace.limit {
+            self.pace.limit += LIMIT_STEP * ((self.now - self.pace.eased) / EASED).min(1.0);
+        }
+    }
+
+    /// Let waiting queries in while there is room, the worthiest for their parts first, then the newest.
+    /// Nothing of a query that must wait is sent.
+    pub(super) fn admit(&mut self) {
+        if self.pace.limit == 0.0 {
+            let all = f64::from(self.s.coordinators.max(1));
+            self.pace.limit = (self.fleet.ready * LIMIT_START / all).max(LIMIT_LEAST);
+        }
+        let waiting = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect::<Vec<_>>();
+        let mut order: Vec<(f64, QueryNumber)> = waiting.iter().map(|n| (self.density(*n), *n)).collect();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
+        let mut open = self.open();
+        for (_, number) in order {
+            if let Some(q) = self.queries.get_mut(&number).filter(|_| open < self.pace.limit) {
+                q.admitted = true;
+                open += q.parts.len() as f64;
+            }
+        }
+    }
+
+    /// Worth of a query for each of its parts; what is over our part of a tenant's share counts for less.
+    fn density(&mut self, number: QueryNumber) -> f64 {
+        let (since, Some(q)) = (self.now - RECENT, self.queries.get(&number)) else { return 0.0 };
+        let quota = self.s.tenants.get(usize::from(q.tenant.0)).map_or(f64::MAX, |t| t.quota);
+        let share = (quota * RECENT / f64::from(self.s.coordinators.max(1))).max(2.0);
+        let over = self.recent.tenants.get_mut(&q.tenant).is_some_and(|t| t.count(since) > share);
+        let parts = q.parts.len() as f64 + f64::from(q.class.second_step);
+        q.class.worth / parts.max(1.0) * if over { self.s.over_share_worth } else { 1.0 }
+    }
+}
--- /dev/null
+++ b/src/balance/members.rs
@@ -0,0 +1,70 @@
+//! The list of replicas: drains, losses and returns act at once; a broken subscription is renewed.
+use super::*;
+
+/// Seconds after which a replica that is gone is forgotten: longer than any attempt is out.
+const FORGET: f64 = 30.0;
+/// Seconds before a broken subscription is renewed first; it doubles up to a quarter of the told time.
+pub(super) const RENEW: f64 = 0.5;
+
+impl Balancer {
+    /// A drain or a loss acts at once: only `Ready` replicas are drawn. A full list drops what it lacks.
+    pub(super) fn members(&mut self, news: News, entries: &[Listed]) {
+        match news {
+            News::Failed => {
+                self.renew_at.get_or_insert(self.now + self.renew);
+                return self.out.push(Action::Timer { after: self.renew });
+            }
+            News::Full | News::Cached => {
+                let listed: BTreeSet<_> = entries.iter().map(|e| e.replica).collect();
+                let gone = self.replicas.iter_mut().filter(|(id, _)| !listed.contains(id));
+                gone.for_each(|(_, r)| r.leave(Phase::Gone, self.now));
+            }
+            News::Delta => {}
+        }
+        self.renew = RENEW;
+        entries.iter().for_each(|entry| self.list(entry));
+        self.fleet.ready = self.replicas.values().filter(|r| r.ready()).count().max(1) as f64;
+        let (now, replicas) = (self.now, &mut self.replicas);
+        replicas.retain(|_, r| r.listed.phase != Phase::Gone || now - r.gone < FORGET || !r.out.is_empty());
+        self.fleet.cells.values_mut().for_each(|ids| ids.retain(|id| replicas.contains_key(id)));
+    }
+
+    /// Replicas that are remembered.
+    pub fn known(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// A replica with a new start is a new process: what was held against the old one is dropped.
+    fn list(&mut self, entry: &Listed) {
+        if entry.phase == Phase::Gone && !self.replicas.contains_key(&entry.replica) {
+            return;
+        }
+        let replica = self.replicas.entry(entry.replica).or_default();
+        if entry.started > replica.listed.started {
+            let (out, sent) = (std::mem::take(&mut replica.out), std::mem::take(&mut replica.sent));
+            *replica = Replica { out, sent, ..Replica::default() };
+            replica.phase = (self.rng.next_u32() as f64) / f64::from(u32::MAX);
+        }
+        let (old, new) = (u32::from(replica.listed.cell.0), u32::from(entry.cell.0));
+        replica.leave(entry.phase, self.now);
+        replica.listed = *entry;
+        self.fleet.cells.entry(old).or_default().remove(&entry.replica);
+        self.fleet.cells.entry(new).or_default().insert(entry.replica);
+    }
+
+    pub(super) fn subscribe(&mut self) {
+        let Discovery::Ask { within } = self.s.discovery else { return };
+        if self.renew_at.is_some_and(|at| at <= self.now) {
+            self.renew_at = None;
+            self.renew = (self.renew * 2.0).min((within / 4.0).max(RENEW));
+            self.out.push(Action::Subscribe);
+        }
+    }
+
+    pub(super) fn holders(&self, shard: ShardId) -> Vec<ReplicaId> {
+        let cells = self.s.cells;
+        let row = (0..self.s.reach.min(cells)).map(|j| (shard.0 % cells + j) % cells);
+        let held = row.filter_map(|cell| self.fleet.cells.get(&cell)).flatten().copied();
+        held.filter(|id| self.replicas[id].ready()).collect()
+    }
+}
--- /dev/null
+++ b/src/balance/pace.rs
@@ -0,0 +1,61 @@
+//! Response times, by which replicas, parts and queries are judged.
+use super::*;
+
+/// Weight of the newest in admission's response time, and seconds in which that halves unseen.
+const DELAY_GAIN: f64 = 0.1;
+const DELAY_HALF: f64 = 0.5;
+/// Pauses between our queries in which what the last ones took halves.
+const QUERY_PAUSES: f64 = 4.0;
+/// A query's slowest part takes so many times the mean one, more by so much of the logarithm of its parts
+/// over so many; two steps take this many times one.
+const QUERY_STRETCH: f64 = 2.0;
+const WIDER: f64 = 0.45;
+const WIDE: usize = 24;
+const STEPS_STRETCH: f64 = 1.5;
+/// Weight of the newest response time of a replica in its usual one, and seconds in which that half fades.
+const TOOK_GAIN: f64 = 0.3;
+const TOOK_HALF: f64 = 2.0;
+
+impl Balancer {
+    /// Response times of the whole fleet, by which each replica and each part is judged.
+    pub(super) fn measure(&mut self, id: ReplicaId, took: f64) {
+        let usual = self.usual_time(id);
+        if let Some(r) = self.replicas.get_mut(&id) {
+            (r.took, r.took_at) = (usual + TOOK_GAIN * (took - usual), self.now);
+        }
+        self.pace.tail *= 1.0 + GAIN * if took < self.pace.tail { -0.1 } else { 0.9 };
+        self.pace.typical += GAIN * (took - self.pace.typical);
+        let delay = self.delay_now();
+        (self.pace.delay, self.pace.served) = (delay + DELAY_GAIN * (took - delay), self.now);
+    }
+
+    /// Response time of a replica as last seen; without news it fades into the typical one.
+    pub(super) fn usual_time(&self, id: ReplicaId) -> f64 {
+        let (typical, r) = (self.pace.typical, &self.replicas[&id]);
+        typical + (r.took - typical) * 0.5f64.powf((self.now - r.took_at) / TOOK_HALF)
+    }
+
+    /// The present response time of parts. Without news it decays: refusals keep it from being measured.
+    fn delay_now(&self) -> f64 {
+        self.pace.delay * 0.5f64.powf((self.now - self.pace.served) / DELAY_HALF)
+    }
+
+    /// How long a query of this class takes from its first send, as parts go now; where replicas are met
+    /// seldom, as our last queries went, if that is longer. Guards against a jam of a few replicas, which the
+    /// mean part hides, and against an overload that is forgotten before our next query is here.
+    pub(super) fn expected(&self, class: &Class) -> f64 {
+        let seldom = if self.fleet.seldom { self.query_now() } else { 0.0 };
+        let steps = if class.second_step > 0 { STEPS_STRETCH } else { 1.0 };
+        seldom.max(self.delay_now() * QUERY_STRETCH) * steps
+    }
+
+    pub(super) fn query_now(&self) -> f64 {
+        let pause = RECENT / (self.recent.taken.len() - self.recent.arrived.len()).max(1.0);
+        self.pace.query * 0.5f64.powf((self.now - self.pace.ended) / (QUERY_PAUSES * pause))
+    }
+}
+
+/// How much longer a query of so many parts takes than a narrow one.
+pub(super) fn wide(parts: usize) -> f64 {
+    1.0 + WIDER * (parts.max(WIDE) as f64 / WIDE as f64).ln()
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,5 @@
 //! What a co-ordinator keeps between rounds, and the check of its settings. Nothing here decides or holds a
-//! tuned value; decisions are in `src/balance.rs`.
+//! tuned value; decisions are in `src/balance/`.
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
@@ -39,6 +39,9 @@
     pub suspect: f64,
     /// Share of sends that went unanswered: on connections in use, and after a pause.
     pub unanswered: [f64; 2],
+    /// Queries by tenant, and the usual patience of each class.
+    pub tenants: BTreeMap<TenantId, Tally>,
+    pub usual: BTreeMap<ClassId, f64>,
 }
 
 impl Recent {
@@ -81,6 +84,11 @@
 }
 
 impl Attempt {
+    /// Out, and not called off: it may still bring its part's answer.
+    pub fn out(&self) -> bool {
+        self.ended.is_none() && !self.cancelled
+    }
+
     /// Proved not to have run.
     pub fn never_ran(&self) -> bool {
         matches!(self.ended, Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent))
@@ -152,6 +160,10 @@
     /// A replica is met less often than news of it holds: what is seen must last until the next meeting.
     pub seldom: bool,
     pub rooms: BTreeMap<ZoneId, Room>,
+    /// Replicas by cell, so that a draw does not look at the whole fleet.
+    pub cells: BTreeMap<u32, BTreeSet<ReplicaId>>,
+    /// Parts sent to each replica in this round: they share calls.
+    pub calls: BTreeMap<ReplicaId, u32>,
 }
 
 /// What is known of the replicas of one zone together.
@@ -206,13 +218,36 @@
 }
 
 impl Part {
+    /// Whether it was sent, or is over: nothing is left to be sent for it first.
+    pub fn begun(&self) -> bool {
+        self.over || !self.attempts.is_empty()
+    }
+
+    pub fn new(number: QueryNumber, class: ClassId, shard: ShardId, weight: f64) -> Part {
+        Part { number, class, shard, weight, attempts: Vec::new(), served: false, over: false }
+    }
+
     /// Whether an attempt is out that may still bring its answer.
     pub fn out(&self) -> bool {
-        self.attempts.iter().any(|a| a.ended.is_none() && !a.cancelled)
+        self.attempts.iter().any(Attempt::out)
     }
 }
 
 impl Replica {
+    pub fn ready(&self) -> bool {
+        self.listed.phase == Phase::Ready
+    }
+
+    /// The load that it last reported: its queue, else what it holds.
+    pub fn load(&self) -> Option<f64> {
+        self.report.queue.or(self.report.in_flight)
+    }
+
+    /// Whether it owes an answer for so long that this was noticed.
+    pub fn silent(&self) -> bool {
+        self.out.values().any(|f| f.silent)
+    }
+
     /// Note its state; since when it is gone, if it now is.
     pub fn leave(&mut self, phase: Phase, now: f64) {
         if self.listed.phase != Phase::Gone {
