--- a/src/balance.rs
+++ b/src/balance.rs
@@ -194,7 +194,7 @@
         match event {
             Event::Members { news, entries } => self.members(*news, entries),
             Event::Query { .. } => self.take_query(event),
-            Event::Part { part, number, shard, weight } => self.take_part(*part, *number, *shard, *weight),
+            Event::Part { .. } => self.take_part(event),
             Event::Outcome { .. } => self.outcome(event),
             Event::Committed { .. } => self.committed(event),
             // A probe that failed may have waited behind parts: no proof of a bad replica.
@@ -768,14 +768,14 @@
         (class.deadline - patience).max(0.0) * f64::from(u8::from(cut))
     }
 
-    fn take_part(&mut self, part: PartId, number: QueryNumber, shard: ShardId, weight: f64) {
+    fn take_part(&mut self, event: &Event) {
+        let &Event::Part { part, number, shard, weight, spent, served } = event else { return };
         self.recent.taken.add(self.now);
         self.recent.arrived.add(self.now);
         let Some(query) = self.queries.get_mut(&number) else { return };
         query.parts.push(part);
-        let (class, attempts) = (query.in_class, Vec::new());
-        let new = Part { number, class, shard, weight, attempts, served: false, over: false };
-        self.parts.insert(part, new);
+        query.served += u32::from(served);
+        self.parts.insert(part, Part::new((number, query.in_class), shard, weight, spent, served));
     }
 
     /// The present response time of parts. Without news it decays: refusals keep it from being measured.
@@ -909,7 +909,7 @@
         let hopeless = !begun && query.aim > self.now && self.now + takes > query.aim;
         let streams = held.iter().any(|p| p.over && p.out());
         let worthless = first && self.now > query.aim && class.late_worth <= 0.0 && !streams;
-        let sent = held.iter().flat_map(|p| &p.attempts).map(|a| a.sent).fold(f64::INFINITY, f64::min);
+        let sent = held.iter().flat_map(|p| &p.attempts).map(Attempt::begun).fold(f64::INFINITY, f64::min);
         let done = whole || (floor < need && share >= floor - ROUNDING && share > 0.0 && due);
         let lost = over || worthless || hope < floor - ROUNDING;
         if first && sent < self.now && (done || lost) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -23,7 +23,8 @@
 //!     query: QueryId(1), number: QueryNumber(1), class: ClassId(0), tenant: TenantId(0),
 //!     patience: 2.0, parts: 1, repeat: false,
 //! };
-//! let part = Event::Part { part: PartId(2), number: QueryNumber(1), shard: ShardId(0), weight: 1.0 };
+//! let part = Event::Part { part: PartId(2), number: QueryNumber(1), shard: ShardId(0), weight: 1.0,
+//!     spent: 0, served: false };
 //! let listed = Event::Members { news: News::Full, entries: vec![replica] };
 //! let actions = balancer.round(0.0, &[listed, query, part]);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { part: PartId(2), .. })));
@@ -315,6 +316,11 @@
         shard: ShardId,
         /// Its share of its step.
         weight: f64,
+        /// Attempts that an earlier owner of its query may have made: each may have run and counts among the part's.
+        /// Ours are numbered from here on.
+        spent: u8,
+        /// An earlier owner had its value in: nothing is sent for it.
+        served: bool,
     },
     Outcome {
         part: PartId,
@@ -354,7 +360,7 @@
 /// What a co-ordinator does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// An attempt of a part; those of a part are numbered from 0 in order.
+    /// An attempt of a part; those of a part are numbered in order, from the attempts that were spent before.
     Send {
         part: PartId,
         replica: ReplicaId,
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,6 +81,21 @@
 }
 
 impl Attempt {
+    /// One of an earlier owner: at a replica that is not known, at a time before any of ours.
+    fn spent() -> Attempt {
+        let (replica, ended) = (ReplicaId(u64::MAX), Some(Outcome::Error));
+        Attempt { replica, sent: f64::NEG_INFINITY, copy: false, cancelled: false, ended }
+    }
+
+    /// When we sent it; never, where an earlier owner did: that tells nothing of how long ours take.
+    pub fn begun(&self) -> f64 {
+        if self.sent.is_finite() {
+            self.sent
+        } else {
+            f64::INFINITY
+        }
+    }
+
     /// Proved not to have run.
     pub fn never_ran(&self) -> bool {
         matches!(self.ended, Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent))
@@ -206,6 +221,13 @@
 }
 
 impl Part {
+    /// A part as it enters. What an earlier owner spent on it stands there as attempts that failed and may have run.
+    pub fn new(query: (QueryNumber, ClassId), shard: ShardId, weight: f64, spent: u8, served: bool) -> Part {
+        let (number, class) = query;
+        let attempts = (0..spent).map(|_| Attempt::spent()).collect();
+        Part { number, class, shard, weight, attempts, served, over: served }
+    }
+
     /// Whether an attempt is out that may still bring its answer.
     pub fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.ended.is_none() && !a.cancelled)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -258,7 +258,14 @@
     if !(0.0..=u32::MAX as f64).contains(&shard) {
         return bad(format!("RangeNo {shard} is out of range"));
     }
-    Ok(Event::Part { part: PartId(r.u32(1)), number, shard: ShardId(shard as u32), weight: amount })
+    Ok(Event::Part {
+        part: PartId(r.u32(1)),
+        number,
+        shard: ShardId(shard as u32),
+        weight: amount,
+        spent: 0,
+        served: false,
+    })
 }
 
 fn outcome(code: u8) -> Result<Outcome, WireError> {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -65,7 +65,7 @@
         let mut events = vec![Event::Query { query, number, class, tenant, patience, parts, repeat: false }];
         for n in 1..=parts {
             let (part, shard, weight) = (PartId(self.next + n), ShardId(0), 1.0 / f64::from(parts));
-            events.push(Event::Part { part, number, shard, weight });
+            events.push(Event::Part { part, number, shard, weight, spent: 0, served: false });
         }
         self.tell(&events)
     }
@@ -375,7 +375,7 @@
             vec![Event::Query { query, number, class, tenant, patience, parts: 2, repeat: false }];
         for n in 1..=2 {
             let (part, shard) = (PartId(rig.next + n), ShardId(0));
-            events.push(Event::Part { part, number, shard, weight: 0.5 });
+            events.push(Event::Part { part, number, shard, weight: 0.5, spent: 0, served: false });
         }
         rig.tell(&events);
         assert_eq!(answers(&rig.end(0, Outcome::Served, Some(1.0))), 0, "half is in, the aim far away");
@@ -398,7 +398,7 @@
         let mut events = vec![Event::Query { query, number, class, tenant, patience, parts: 2, repeat }];
         for part in 1..=2 {
             let (part, shard) = (PartId(id + part), ShardId(0));
-            events.push(Event::Part { part, number, shard, weight: 0.5 });
+            events.push(Event::Part { part, number, shard, weight: 0.5, spent: 0, served: false });
         }
         rig.tell(&events);
         let early = answers(&rig.end(0, Outcome::Served, Some(1.0)));
@@ -420,7 +420,14 @@
     let stray = Event::Outcome { part, attempt: 9, replica, over: true, outcome, took: f64::NAN, report };
     rig.tell(&[stray, Event::Withdrawn { query: QueryId(5) }]);
     rig.tell(&[Event::Members { news: News::Full, entries: vec![listed(1, 60000)] }]);
-    rig.tell(&[Event::Part { part, number: QueryNumber(8), shard: ShardId(u32::MAX), weight: f64::NAN }]);
+    rig.tell(&[Event::Part {
+        part,
+        number: QueryNumber(8),
+        shard: ShardId(u32::MAX),
+        weight: f64::NAN,
+        spent: 0,
+        served: false,
+    }]);
     let actions = rig.wait(5.0);
     assert_eq!(actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count(), 1);
 }
@@ -451,7 +458,7 @@
     let mut events = vec![Event::Query { query, number, class, tenant, patience, parts, repeat: false }];
     for n in 1..=parts {
         let (part, shard, weight) = (PartId(rig.next + n), ShardId(n - 1), 1.0 / f64::from(parts));
-        events.push(Event::Part { part, number, shard, weight });
+        events.push(Event::Part { part, number, shard, weight, spent: 0, served: false });
     }
     rig.tell(&events)
 }
@@ -563,7 +570,7 @@
         let (part, shard, weight) = (PartId(rig.next + 1), ShardId(0), 1.0);
         rig.tell(&[
             Event::Query { query, number, class, tenant, patience, parts: 1, repeat: false },
-            Event::Part { part, number, shard, weight },
+            Event::Part { part, number, shard, weight, spent: 0, served: false },
         ]);
         let bad = |r: ReplicaId| r.0 == 0 && class.0 == 1;
         let mut hits = 0;
@@ -615,7 +622,14 @@
                 let (number, query, class) = (QueryNumber(id), QueryId(id), ClassId(0));
                 let (tenant, patience) = (TenantId(0), 2.0);
                 events.push(Event::Query { query, number, class, tenant, patience, parts: 1, repeat: false });
-                events.push(Event::Part { part: PartId(id + 1), number, shard: ShardId(0), weight: 1.0 });
+                events.push(Event::Part {
+                    part: PartId(id + 1),
+                    number,
+                    shard: ShardId(0),
+                    weight: 1.0,
+                    spent: 0,
+                    served: false,
+                });
             }
             let actions = balancer.round(now, &events);
             let mut done = Vec::new();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -142,7 +142,14 @@
         let first = self.rng.next_u32();
         for n in 0..parts {
             let (part, shard) = (PartId(self.next + 1 + n), ShardId(first % 120 + 7 * n));
-            events.push(Event::Part { part, number, shard, weight: 1.0 / f64::from(parts) });
+            events.push(Event::Part {
+                part,
+                number,
+                shard,
+                weight: 1.0 / f64::from(parts),
+                spent: 0,
+                served: false,
+            });
         }
         events
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -170,7 +170,14 @@
         self.parts.insert(part, state);
         self.taken.push(self.now);
         self.queries.get_mut(&query).expect("held").parts.push(part);
-        Event::Part { part: PartId(part), number: QueryNumber(query), shard: ShardId(shard), weight }
+        Event::Part {
+            part: PartId(part),
+            number: QueryNumber(query),
+            shard: ShardId(shard),
+            weight,
+            spent: 0,
+            served: false,
+        }
     }
 
     fn events(&mut self) -> Vec<Event> {
