--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -5,8 +5,10 @@
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::FutureExt;
 
-use super::{after, Core, Part, State, Step, Value};
+use super::{after, Core, Gate, Part, State, Step, Value};
 use crate::interface::*;
 
 /// One attempt of one part.
@@ -49,22 +51,26 @@
 
 /// Resolves when an attempt is called off.
 #[derive(Clone)]
-pub struct Stop(Receiver<Infallible>);
+pub struct Stop {
+    come: Receiver<Infallible>,
+    /// That of a protected query.
+    gate: Option<Rc<dyn Gate>>,
+}
 
 impl Stop {
     /// A stop, and what to drop for it to come.
     pub fn new() -> (Sender<Infallible>, Stop) {
         let (send, stopped) = async_channel::bounded(1);
-        (send, Stop(stopped))
+        (send, Stop { come: stopped, gate: None })
     }
 
-    /// Whether it has come: for the last look before a write.
+    /// Whether it has come, or the query is not ours to send for: for the last look before a write.
     pub fn called_off(&self) -> bool {
-        self.0.is_closed()
+        self.come.is_closed() || self.gate.as_ref().is_some_and(|gate| !gate.holds())
     }
 
     pub async fn wait(&self) {
-        while self.0.recv().await.is_ok() {}
+        while self.come.recv().await.is_ok() {}
     }
 }
 
@@ -125,9 +131,16 @@
         let (carried, step) = (open.carried.clone(), held.step.clone());
         let of = Some((self.clone(), part, attempt, now));
         let call = Call { replica, carried, shard: held.shard, step, deadline, of };
-        let (stop, stopped) = Stop::new();
+        let (stop, mut stopped) = Stop::new();
         state.stops.insert((part, attempt), stop);
         let core = self.clone();
+        if let Some(protection) = &open.protection {
+            stopped.gate = Some(protection.gate.clone());
+            // What was cleared of an earlier owner is no attempt of the module's, and has its number all the same.
+            let number = attempt.saturating_add(held.cleared);
+            self.executor.spawn(core.gated(protection.gate.clone(), number, call, stopped)).detach();
+            return;
+        }
         let life = async move {
             let ended = core.transport.clone().call(call, stopped).await;
             core.ended(part, attempt, replica, now, ended);
@@ -135,6 +148,43 @@
         self.executor.spawn(life).detach();
     }
 
+    /// The life of an attempt of a protected query. Invariant: nothing of it reaches the transport before its gate has
+    /// granted its number, or once the gate holds the query no more.
+    async fn gated(self: Rc<Self>, gate: Rc<dyn Gate>, number: u8, mut call: Call<T>, stop: Stop) {
+        let Some((_, part, attempt, sent)) = &mut call.of else { return };
+        let (part, attempt, replica) = (*part, *attempt, call.replica);
+        let (step, shard, deadline) = (call.step.number(), call.shard, call.deadline);
+        let granting = gate.may_send(step, shard, number);
+        let given_up = async {
+            stop.wait()
+                .or(async {
+                    let _ = Timer::at(deadline).await;
+                })
+                .await;
+            false
+        };
+        let granted = granting.or(given_up).await;
+        // What waited for its grant says nothing of its replica: the time of its response counts from here.
+        *sent = Instant::now();
+        let sent = *sent;
+        let ended = match granted && !stop.called_off() {
+            true => self.transport.clone().call(call, stop).await,
+            false => Outcome::NotSent.into(),
+        };
+        match &ended.served {
+            Some((value, score)) if self.wants(part, attempt) => gate.value(step, shard, value, *score),
+            // Not granted, it may still be: then it counts as made, which errs on the safe side.
+            None if granted && ended.outcome.never_ran() => gate.cleared(step, shard),
+            _ => {}
+        }
+        self.ended(part, attempt, replica, sent, ended);
+    }
+
+    /// Whether a value of this attempt would be its part's.
+    fn wants(&self, part: PartId, attempt: u8) -> bool {
+        self.state.borrow().parts.get(&part).is_some_and(|p| p.takes(attempt))
+    }
+
     fn commit(&self, id: PartId, attempt: u8, replica: ReplicaId, sent: Instant) -> bool {
         let state = &mut *self.state.borrow_mut();
         let Some(part) = state.parts.get_mut(&id).filter(|p| p.value.is_none()) else { return false };
@@ -155,9 +205,7 @@
         state.stops.remove(&(id, attempt));
         let part = state.parts.get_mut(&id);
         let over = part.as_ref().is_none_or(|p| p.value.is_some()) || ended.served.is_some();
-        // The first value counts; where one has begun to go out, that one alone.
-        let counts = |p: &&mut Part| p.value.is_none() && p.committed.is_none_or(|n| n == attempt);
-        if let Some(part) = part.filter(counts) {
+        if let Some(part) = part.filter(|p| p.takes(attempt)) {
             part.value = ended.served;
         }
         drop(state);
@@ -166,3 +214,10 @@
         self.tell(Event::Outcome { part: id, attempt, replica, over, outcome, took, report });
     }
 }
+
+impl Part {
+    /// The first value counts; where one has begun to go out, that one alone.
+    fn takes(&self, attempt: u8) -> bool {
+        self.value.is_none() && self.committed.is_none_or(|n| n == attempt)
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! the attempts is a [`Transport`].
 mod attempt;
 mod clock;
+mod gate;
 mod query;
 
 use std::cell::{Cell, RefCell};
@@ -21,6 +22,7 @@
 use crate::Balancer;
 pub use attempt::{Call, Ended, Stop, Transport};
 pub use clock::{after, Clock};
+pub use gate::{Earlier, Gate, Granting, Protection};
 pub use query::{Final, Query, Step, Taken, Value};
 
 struct Part {
@@ -28,7 +30,10 @@
     shard: ShardId,
     step: Step,
     value: Option<(Value, f64)>,
+    /// Those that an earlier owner may have made among them.
     attempts: u8,
+    /// Further ones of an earlier owner, proved never to have run.
+    cleared: u8,
     /// The attempt whose value has begun to go to the client.
     committed: Option<u8>,
 }
@@ -40,6 +45,7 @@
     carried: Rc<C>,
     parts: Vec<PartId>,
     second: bool,
+    protection: Option<Protection>,
     done: Sender<Final>,
 }
 
@@ -254,11 +260,14 @@
         for &(shard, weight) in parts {
             let part = PartId(self.id());
             open.parts.push(part);
-            self.parts.insert(
-                part,
-                Part { query, shard, step: step.clone(), value: None, attempts: 0, committed: None },
-            );
-            self.events.push(Event::Part { part, number: open.number, shard, weight });
+            let earlier = open.protection.as_ref().and_then(|p| p.earlier.get(&(step.number(), shard)));
+            let (spent, cleared) = earlier.map_or((0, 0), |e| (e.spent(), e.cleared));
+            let value = earlier.and_then(|e| e.value.clone());
+            let (number, served) = (open.number, value.is_some());
+            let held =
+                Part { query, shard, step: step.clone(), value, attempts: spent, cleared, committed: None };
+            self.parts.insert(part, held);
+            self.events.push(Event::Part { part, number, shard, weight, spent, served });
         }
     }
 
--- a/src/core/query.rs
+++ b/src/core/query.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 
-use super::{Core, Open, State, Transport};
+use super::{Core, Open, Protection, State, Transport};
 use crate::interface::*;
 
 /// A query as a front hands it in; `carried` is what the transport needs of it.
@@ -16,6 +16,8 @@
     pub repeat: bool,
     pub parts: Vec<(ShardId, f64)>,
     pub carried: C,
+    /// `None`: nobody else guards it, and what is sent of it is the module's matter alone.
+    pub protection: Option<Protection>,
 }
 
 /// The value of a part, as a replica gave it.
@@ -48,6 +50,13 @@
     },
 }
 
+impl Step {
+    /// 0 or 1.
+    pub fn number(&self) -> u8 {
+        u8::from(*self != Step::First)
+    }
+}
+
 /// A query that was taken. Dropping it before its final outcome withdraws it.
 pub struct Taken<T: Transport> {
     core: Weak<Core<T>>,
@@ -117,6 +126,7 @@
             carried: Rc::new(query.carried),
             parts: Vec::new(),
             second: false,
+            protection: query.protection,
             done: send,
         };
         state.enter(id, &mut open, Step::First, &query.parts);
@@ -152,6 +162,9 @@
             values.sort_by(|a, b| b.2.total_cmp(&a.2).then(a.0.cmp(&b.0)));
             let best: Vec<_> = values[..second].iter().map(|v| (v.0, 1.0 / second as f64)).collect();
             open.second = true;
+            if let Some(protection) = &open.protection {
+                protection.gate.stepped(&from);
+            }
             state.enter(id, &mut open, Step::Second { from, whole }, &best);
             state.open.insert(id, open);
             self.wake.notify(1);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -288,6 +288,11 @@
 }
 
 impl Outcome {
+    /// Whether it proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
+    }
+
     /// Whether the attempt was told to have failed: neither served, nor turned away, nor left without an answer.
     pub fn failed(self) -> bool {
         !matches!(self, Outcome::Served | Outcome::TurnedAway | Outcome::TimedOut | Outcome::Cancelled)
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -237,7 +237,8 @@
         let carried = Carried::new(id.to_owned(), body.statement.as_bytes().to_vec());
         self.open.borrow_mut().insert(id.to_owned());
         let open = Taken(self.open.clone(), id.to_owned());
-        Ok((Query { class: ClassId(class as u16), deadline, repeat, parts, carried }, open))
+        let class = ClassId(class as u16);
+        Ok((Query { class, deadline, repeat, parts, carried, protection: None }, open))
     }
 
     fn answer(&self, outcome: &Final) -> Answer {
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -326,7 +326,7 @@
         };
         let repeat = head.headers.contains_key("grpc-previous-rpc-attempts");
         let (class, parts) = (carried.route.class, shards.iter().map(|s| (*s, weight)).collect());
-        let query = Query { class, deadline, repeat, parts, carried };
+        let query = Query { class, deadline, repeat, parts, carried, protection: None };
         let Some(taken) = self.core.take(query) else {
             if let Some(spared) = self.said.refused.line() {
                 info!(self.log, "refused"; "why" => "as much is open as may be", "path" => head.uri.path(),
--- a/src/net/opensearch/front.rs
+++ b/src/net/opensearch/front.rs
@@ -152,6 +152,7 @@
             repeat: false,
             parts: parts.iter().map(|s| (*s, share)).collect(),
             carried,
+            protection: None,
         };
         Ok(Ready { search, notes, parts, begun: now, deadline, query })
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,7 +98,7 @@
 
     /// Proved not to have run.
     pub fn never_ran(&self) -> bool {
-        matches!(self.ended, Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent))
+        self.ended.is_some_and(Outcome::never_ran)
     }
 }
 
