--- /dev/null
+++ b/src/net/fleet/hold.rs
@@ -0,0 +1,125 @@
+//! What a front that executes protected work is handed: the work, and a hold on it.
+use std::cell::Cell;
+use std::rc::{Rc, Weak};
+
+use event_listener::Event as Wake;
+
+use super::driver::Driver;
+use crate::fleet::work::{Key, May, Record};
+
+/// A front that executes the work of which this process is the owner, from its start or by takeover.
+pub trait Execute {
+    /// Begin to execute `record`. Must not block: what takes time goes into a task of its own. To `takeover` belongs
+    /// a record in which parts may have been granted, cleared and answered before.
+    fn start(self: Rc<Self>, key: Key, record: Rc<Record>, takeover: bool, hold: Hold);
+}
+
+/// What is kept of a piece of work that this process executes, for as long as a [`Hold`] on it lives.
+pub(super) struct Run {
+    key: Key,
+    driver: Weak<Driver>,
+    stopped: Cell<bool>,
+    wake: Wake,
+}
+
+impl Run {
+    pub(super) fn new(key: Key, driver: Weak<Driver>) -> Rc<Run> {
+        Rc::new(Run { key, driver, stopped: Cell::new(false), wake: Wake::new() })
+    }
+
+    /// More attempts of one of its parts were granted.
+    pub(super) fn granted(&self) {
+        self.wake.notify(usize::MAX);
+    }
+
+    /// Its ballot or lease is lost for good.
+    pub(super) fn stop(&self) {
+        self.stopped.set(true);
+        self.wake.notify(usize::MAX);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if let Some(driver) = self.driver.upgrade() {
+            driver.over(self.key);
+        }
+    }
+}
+
+/// A piece of work in the hand of this process. Copies stand for the same work; with the last one the front says that
+/// it will do no more of it.
+#[derive(Clone)]
+pub struct Hold(Rc<Run>);
+
+impl Hold {
+    pub(super) fn new(run: Rc<Run>) -> Hold {
+        Hold(run)
+    }
+
+    pub fn key(&self) -> Key {
+        self.0.key
+    }
+
+    /// Whether attempt `attempt` (from 0, counted over all owners) of a part may be sent; waits until that stands
+    /// with a majority. `false`: never, by this process.
+    pub async fn may_send(&self, step: u8, shard: u32, attempt: u8) -> bool {
+        loop {
+            let wake = self.0.wake.listen();
+            if self.is_stopped() {
+                return false;
+            }
+            let Some(driver) = self.0.driver.upgrade() else { return false };
+            match driver.work(|works, now| works.may_send(now, self.0.key, step, shard, attempt)) {
+                May::Now => return true,
+                May::Never => return false,
+                May::Later => {}
+            }
+            drop(driver);
+            wake.await;
+        }
+    }
+
+    /// Whether ballot and lease are held at this moment: for the last look before a byte leaves.
+    pub fn holds(&self) -> bool {
+        let driver = self.0.driver.upgrade();
+        !self.is_stopped() && driver.is_some_and(|d| d.peek(|works, now| works.holds(now, self.0.key)))
+    }
+
+    /// One more attempt of the part is proved never to have run.
+    pub fn cleared(&self, step: u8, shard: u32) {
+        self.tell(|driver| driver.work(|works, now| works.cleared(now, self.0.key, step, shard)));
+    }
+
+    /// The value of a part came in.
+    pub fn value(&self, step: u8, shard: u32, value: Rc<[u8]>, score: f64) {
+        self.tell(|driver| driver.work(|works, now| works.value(now, self.0.key, step, shard, value, score)));
+    }
+
+    /// This is the outcome. Whoever waits for it hears of it once it stands with a majority.
+    pub fn finish(&self, outcome: Rc<[u8]>) {
+        self.tell(|driver| driver.work(|works, now| works.finish(now, self.0.key, outcome)));
+    }
+
+    /// Whether ballot or lease are lost for good: nothing of this work may be sent or answered by this process.
+    pub fn is_stopped(&self) -> bool {
+        self.0.stopped.get()
+    }
+
+    /// Resolves once they are.
+    pub async fn stopped(&self) {
+        loop {
+            let wake = self.0.wake.listen();
+            if self.is_stopped() {
+                return;
+            }
+            wake.await;
+        }
+    }
+
+    fn tell(&self, what: impl FnOnce(&Driver)) {
+        if let Some(driver) = self.0.driver.upgrade().filter(|_| !self.is_stopped()) {
+            what(&driver);
+        }
+    }
+}
