Let the operator's file name a fleet, and its members reach each other

Need: work that outlives its coordinator goes between processes. Off, and nothing added, without the section.

--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
 use marlgap::net::clients::{self, Acceptor, Closing};
 use marlgap::net::descriptors::Descriptors;
 use marlgap::net::discovery::Discovery;
+use marlgap::net::fleet::Fleet;
 use marlgap::net::front::Front;
 use marlgap::net::nodes::Nodes;
 use marlgap::net::{grpc, opensearch};
@@ -72,11 +73,13 @@
 ) -> Result<(), ConfigError> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(ConfigError::Signals)?;
     let closing = Rc::new(Closing::default());
-    let (query_api, grpc) = config.operator.map_or((None, None), |o| (o.query_api, o.grpc));
+    let (query_api, grpc, fleet) =
+        config.operator.map_or((None, None, None), |o| (o.query_api, o.grpc, o.fleet));
     let fronts = usize::from(config.platform.is_some())
         + usize::from(query_api.is_some())
         + usize::from(grpc.is_some());
-    let all = config.sockets.saturating_sub(RESERVED).max(16) / fronts.max(1);
+    let members = fleet.as_ref().map_or(0, Fleet::descriptors);
+    let all = config.sockets.saturating_sub(RESERVED + members).max(16) / fronts.max(1);
     let acceptor = |descriptors: Rc<Descriptors>| {
         Acceptor::new(executor.clone(), closing.clone(), descriptors, log.clone())
     };
@@ -114,7 +117,13 @@
         executor.spawn(count(core, "platform", log.clone())).detach();
     }
 
+    // Made before the fronts, which ask it, and begun after them: they execute what it hands out.
+    let listen_at = fleet.as_ref().map(|setup| setup.listen);
+    let fleet = fleet.map(|setup| Fleet::new(&setup, &log));
+    let mut longest = 0.0f64;
+
     if let Some(setup) = query_api {
+        longest = setup.told.settings.classes.iter().map(|c| c.deadline).fold(longest, f64::max);
         let address = setup.listen;
         let front = opensearch::start(setup, config.seed, apart.kept(), &executor, &closing, &log)
             .map_err(ConfigError::Start)?;
@@ -140,6 +149,11 @@
         accepted.push((acceptor, executor.spawn(accept)));
     }
 
+    if let (Some(fleet), Some(address)) = (&fleet, listen_at) {
+        fleet.begin(listen(address)?, &executor);
+        executor.spawn(count_fleet(fleet.clone(), log.clone())).detach();
+    }
+
     let mut signal = signals.next().await;
     // Guards against the signal's default, which ends the program: a new configuration moves the watch on discovery,
     // the operator's file replaces the routes; one that cannot be used changes nothing.
@@ -171,6 +185,9 @@
     Timer::at(told_at + STILL_COMING).await;
     closing.idle.set(true);
     closing.wake.notify(usize::MAX);
+    if let Some(fleet) = &fleet {
+        fleet.leave();
+    }
     for (acceptor, task) in accepted {
         task.await;
         while acceptor.held() > 0 {
@@ -180,6 +197,10 @@
             }
         }
     }
+    // What is executed here for clients of other members; at its end it is over, or another member's.
+    if let Some(fleet) = &fleet {
+        fleet.idle(told_at + Duration::try_from_secs_f64(longest).unwrap_or_default()).await;
+    }
     info!(log, "stopped");
     // The log's last lines leave by a thread of their own; nobody waits for it longer than this.
     Timer::at(Instant::now() + Duration::from_millis(20)).await;
@@ -196,3 +217,10 @@
         info!(log, "counts"; "front" => front, "so far" => ?core.counts(), "open" => core.open(), "replicas" => core.known());
     }
 }
+
+async fn count_fleet(fleet: Rc<Fleet>, log: Logger) {
+    loop {
+        Timer::at(Instant::now() + COUNTS_EVERY).await;
+        info!(log, "fleet counts"; "so far" => ?fleet.counts(), "dropped" => fleet.dropped());
+    }
+}
--- /dev/null
+++ b/src/net/fleet/driver.rs
@@ -0,0 +1,383 @@
+//! Owns the machines of this member: hands them what comes in, with the time, and carries out what they say.
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_channel::Sender;
+use async_io::Timer;
+use event_listener::Event as Wake;
+use futures_lite::FutureExt;
+use slog::{debug, info, warn, Logger};
+
+use super::frames::{Frame, FrameError, Hello, VERSION};
+use super::hold::{Execute, Hold, Run};
+use super::link::Outbox;
+use crate::core::Stop;
+use crate::fleet::found_first::{self, Founding};
+use crate::fleet::work::{Act, Ask, Counts, Key, Reply, Token, Works};
+use crate::fleet::{Configuration, Member, MemberId, Micros};
+use crate::net::Ration;
+use crate::operator::OperatorFleet;
+
+/// Reads the machine's clocks: the wall clock once, at the start.
+struct Clock {
+    started: Instant,
+    /// Unix microseconds at the start.
+    wall: u64,
+}
+
+impl Clock {
+    fn start() -> Clock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
+        Clock { started: Instant::now(), wall: u64::try_from(wall).unwrap_or(u64::MAX).max(1) }
+    }
+
+    fn now(&self) -> Micros {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.wall.saturating_add(self.now()) / 1000
+    }
+
+    fn at(&self, due: Micros) -> Instant {
+        self.started + Duration::from_micros(due)
+    }
+}
+
+/// The connection that a member's frames are read from: the newest one alone.
+type Reader = (u64, Sender<Infallible>);
+
+pub struct Driver {
+    me: MemberId,
+    cluster: Rc<str>,
+    zone: Rc<str>,
+    members: Rc<[Member]>,
+    most_frame: usize,
+    clock: Clock,
+    works: RefCell<Works>,
+    founding: RefCell<Founding>,
+    config: RefCell<Option<Configuration>>,
+    /// The latest life of each name that was seen.
+    lives: RefCell<BTreeMap<Rc<str>, u64>>,
+    readers: RefCell<BTreeMap<Rc<str>, Reader>>,
+    outboxes: BTreeMap<Rc<str>, Rc<Outbox>>,
+    /// Reached, as told last.
+    alive: RefCell<BTreeMap<Rc<str>, bool>>,
+    waiting: RefCell<HashMap<Token, Sender<Reply>>>,
+    runs: RefCell<HashMap<Key, Weak<Run>>>,
+    executes: RefCell<Option<Rc<dyn Execute>>>,
+    tokens: Cell<Token>,
+    /// What the machines say is being carried out further up.
+    busy: Cell<bool>,
+    /// When the timer rings, and what sets it anew.
+    rings: Cell<Option<Micros>>,
+    ring: Wake,
+    pub idle: Wake,
+    log: Logger,
+    said: Ration,
+}
+
+impl Driver {
+    pub fn new(setup: &OperatorFleet, log: Logger) -> Rc<Driver> {
+        let clock = Clock::start();
+        let me = MemberId::new(&setup.name, clock.wall);
+        let works = Works::new(me.clone(), setup.rules.clone(), setup.limits.clone());
+        let founding = Founding::new(clock.now(), me.clone(), setup.members.clone());
+        let others = setup.members.iter().filter(|m| m.id.name != me.name);
+        let outbox = |m: &Member| (m.id.name.clone(), Rc::new(Outbox::new(setup.queue, setup.frame)));
+        Rc::new(Driver {
+            cluster: setup.cluster.clone(),
+            zone: setup.zone(),
+            members: setup.members.clone(),
+            most_frame: setup.frame,
+            clock,
+            works: RefCell::new(works),
+            founding: RefCell::new(founding),
+            config: RefCell::default(),
+            lives: RefCell::new([(me.name.clone(), me.incarnation)].into()),
+            readers: RefCell::default(),
+            outboxes: others.map(outbox).collect(),
+            alive: RefCell::default(),
+            waiting: RefCell::default(),
+            runs: RefCell::default(),
+            executes: RefCell::default(),
+            tokens: Cell::new(0),
+            busy: Cell::new(false),
+            rings: Cell::new(None),
+            ring: Wake::new(),
+            idle: Wake::new(),
+            log,
+            said: Ration::default(),
+            me,
+        })
+    }
+
+    pub fn me(&self) -> &MemberId {
+        &self.me
+    }
+
+    pub fn most_frame(&self) -> usize {
+        self.most_frame
+    }
+
+    pub fn unix_ms(&self) -> u64 {
+        self.clock.unix_ms()
+    }
+
+    pub fn outboxes(&self) -> impl Iterator<Item = (&Member, &Rc<Outbox>)> {
+        self.members.iter().filter_map(|m| Some((m, self.outboxes.get(&m.id.name)?)))
+    }
+
+    pub fn configuration(&self) -> Option<Configuration> {
+        self.config.borrow().clone()
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.works.borrow().counts()
+    }
+
+    /// Frames that found no room or no connection.
+    pub fn dropped(&self) -> u64 {
+        self.outboxes.values().map(|o| o.dropped.get()).sum()
+    }
+
+    pub fn executes(&self, front: Rc<dyn Execute>) {
+        *self.executes.borrow_mut() = Some(front);
+    }
+
+    /// Ask the machine something that changes nothing.
+    pub fn peek<T>(&self, what: impl FnOnce(&Works, Micros) -> T) -> T {
+        what(&self.works.borrow(), self.clock.now())
+    }
+
+    /// Hand something to the machine and carry out what it says to that.
+    pub fn work<T>(self: &Rc<Self>, what: impl FnOnce(&mut Works, Micros) -> T) -> T {
+        let given = what(&mut self.works.borrow_mut(), self.clock.now());
+        self.carry_out();
+        given
+    }
+
+    /// A client's ask; its reply comes by `reply`.
+    pub fn submit(self: &Rc<Self>, ask: Ask, reply: Sender<Reply>) -> Token {
+        let (token, unix_ms) = (self.tokens.get() + 1, self.clock.unix_ms());
+        self.tokens.set(token);
+        self.waiting.borrow_mut().insert(token, reply);
+        self.work(|works, now| works.submit(now, unix_ms, token, ask));
+        token
+    }
+
+    /// That client waits no more.
+    pub fn leave(self: &Rc<Self>, token: Token) {
+        if self.waiting.borrow_mut().remove(&token).is_some() {
+            self.work(|works, _| works.leave(token));
+        }
+    }
+
+    /// Pieces of work that this process executes.
+    pub fn running(&self) -> usize {
+        self.runs.borrow().len()
+    }
+
+    /// The last hold on it is gone.
+    pub fn over(&self, key: Key) {
+        self.runs.borrow_mut().remove(&key);
+        self.idle.notify(usize::MAX);
+    }
+
+    pub fn hello(&self) -> Vec<u8> {
+        let (cluster, name, zone) =
+            (self.cluster.to_string(), self.me.name.to_string(), self.zone.to_string());
+        let hello = Hello { cluster, version: VERSION, name, incarnation: self.me.incarnation, zone };
+        Frame::Hello(hello).bytes()
+    }
+
+    /// A hello of a member on a connection of either side: who it is. Nothing is taken over from any other.
+    pub fn greeted(&self, hello: &Hello) -> Result<MemberId, FrameError> {
+        let id = hello.check(&self.cluster, &self.members)?;
+        if id.name == self.me.name {
+            return Err(FrameError::Name(hello.name.clone()));
+        }
+        let seen = self.lives.borrow().get(&id.name).copied().unwrap_or_default();
+        if id.incarnation < seen {
+            return Err(FrameError::Outlived(id.to_string()));
+        }
+        if id.incarnation > seen {
+            self.lives.borrow_mut().insert(id.name.clone(), id.incarnation);
+            // A later life takes the name over: what an earlier one still says is read no more.
+            self.readers.borrow_mut().remove(&id.name);
+        }
+        Ok(id)
+    }
+
+    /// Its frames come over a new connection; the stop tells when over yet another one.
+    pub fn reads(&self, id: &MemberId) -> Stop {
+        let (send, stop) = Stop::new();
+        let latest = self.lives.borrow().get(&id.name) == Some(&id.incarnation);
+        if latest {
+            self.readers.borrow_mut().insert(id.name.clone(), (id.incarnation, send));
+        }
+        stop
+    }
+
+    pub fn receive(self: &Rc<Self>, from: &MemberId, frame: Frame) -> Result<(), FrameError> {
+        match frame {
+            Frame::Hello(_) => return Err(FrameError::Order),
+            Frame::Work(message) => {
+                let (now, unix_ms) = (self.clock.now(), self.clock.unix_ms());
+                self.works.borrow_mut().receive(now, unix_ms, from, message);
+            }
+            Frame::Founding(note) => self.founding.borrow_mut().receive(from, note),
+        }
+        self.carry_out();
+        Ok(())
+    }
+
+    /// The connection to it is up.
+    pub fn reached(self: &Rc<Self>, id: &MemberId, zone: &str) {
+        if self.alive.borrow_mut().insert(id.name.clone(), true) != Some(true) {
+            info!(self.log, "fleet member reached"; "member" => %id);
+        }
+        self.founding.borrow_mut().heard(id, zone);
+        self.work(|works, now| works.rumour(now, id, true));
+    }
+
+    /// The connection to it broke, or none could be had.
+    pub fn lost(self: &Rc<Self>, name: &Rc<str>, why: &io::Error) {
+        if self.alive.borrow_mut().insert(name.clone(), false) == Some(true) {
+            info!(self.log, "fleet member lost"; "member" => &**name, "error" => %why);
+        }
+        let id =
+            self.lives.borrow().get(name).map(|life| MemberId { name: name.clone(), incarnation: *life });
+        let listed = || self.config.borrow().as_ref().and_then(|c| c.member(name)).map(|m| m.id.clone());
+        if let Some(id) = id.or_else(listed) {
+            self.work(|works, now| works.rumour(now, &id, false));
+        }
+    }
+
+    /// A connection was closed for what came over it.
+    pub fn unusable(&self, peer: SocketAddr, why: &FrameError) {
+        self.warn("unusable connection in the fleet", &peer, why);
+    }
+
+    pub fn not_accepted(&self, why: &io::Error) {
+        self.warn("could not accept a member's connection", &"", why);
+    }
+
+    fn warn(&self, what: &'static str, peer: &dyn fmt::Display, why: &dyn fmt::Display) {
+        if let Some(spared) = self.said.line() {
+            warn!(self.log, "{}", what; "peer" => %peer, "error" => %why, "spared" => spared);
+        }
+    }
+
+    /// Ring the machines' bell for good.
+    pub async fn tick(self: Rc<Self>) {
+        loop {
+            let ring = self.ring.listen();
+            let (works, founding) = (self.works.borrow().due(), self.founding.borrow().due());
+            let due = works.into_iter().chain(founding).min();
+            self.rings.set(due);
+            if due.is_none_or(|due| due > self.clock.now()) {
+                let rung = async {
+                    match due {
+                        Some(due) => drop(Timer::at(self.clock.at(due)).await),
+                        None => std::future::pending().await,
+                    }
+                };
+                ring.or(rung).await;
+                continue;
+            }
+            let (now, unix_ms) = (self.clock.now(), self.clock.unix_ms());
+            self.founding.borrow_mut().tick(now);
+            self.works.borrow_mut().tick(now, unix_ms);
+            self.carry_out();
+            // Guards the others on this thread against a bell that is due again and again.
+            futures_lite::future::yield_now().await;
+        }
+    }
+
+    /// Do what the machines say, until they say no more. What is called from here and comes back with news only leaves
+    /// it to this loop: acts are carried out in their order.
+    fn carry_out(self: &Rc<Self>) {
+        if self.busy.replace(true) {
+            return;
+        }
+        loop {
+            let acts = self.works.borrow_mut().ready();
+            let founding = self.founding.borrow_mut().ready();
+            if acts.is_empty() && founding.is_empty() {
+                break;
+            }
+            founding.into_iter().for_each(|act| self.found(act));
+            acts.into_iter().for_each(|act| self.act(act));
+        }
+        self.busy.set(false);
+        let due = self.works.borrow().due();
+        if due.is_some_and(|due| self.rings.get().is_none_or(|rings| due < rings)) {
+            self.ring.notify(1);
+        }
+    }
+
+    fn act(self: &Rc<Self>, act: Act) {
+        match act {
+            Act::Send { to, message } => self.send(&to, &Frame::Work(message)),
+            Act::Start { key, record, takeover } => {
+                let run = Run::new(key, Rc::downgrade(self));
+                self.runs.borrow_mut().insert(key, Rc::downgrade(&run));
+                debug!(self.log, "protected work begun"; "id" => &record.id, "takeover" => takeover);
+                let front = self.executes.borrow().clone();
+                match front {
+                    Some(front) => front.start(key, record, takeover, Hold::new(run)),
+                    None => self.warn("nobody executes protected work here", &"", &record.id),
+                }
+            }
+            Act::Granted { key, .. } => {
+                if let Some(run) = self.run(key) {
+                    run.granted();
+                }
+            }
+            Act::Stop { key } => {
+                if let Some(run) = self.run(key) {
+                    run.stop();
+                }
+            }
+            Act::Answer { token, reply } => {
+                let waits = self.waiting.borrow_mut().remove(&token);
+                drop(waits.map(|w| w.try_send(reply)));
+            }
+        }
+    }
+
+    fn run(&self, key: Key) -> Option<Rc<Run>> {
+        self.runs.borrow().get(&key).and_then(Weak::upgrade)
+    }
+
+    fn found(&self, act: found_first::Act) {
+        match act {
+            found_first::Act::Send { to, note } => self.send(&to, &Frame::Founding(note)),
+            found_first::Act::Formed(config) => {
+                let (epoch, members) = (config.epoch(), config.members().len());
+                if !config.counts(&self.me) {
+                    warn!(self.log, "this member started too late to count"; "epoch" => epoch);
+                }
+                *self.config.borrow_mut() = Some(config.clone());
+                self.works.borrow_mut().configure(self.clock.now(), config);
+                info!(self.log, "fleet configuration"; "epoch" => epoch, "members" => members);
+            }
+            found_first::Act::Differs(id) => {
+                self.warn("founding members differ", &id, &"its file names others, or other zones")
+            }
+        }
+    }
+
+    fn send(&self, to: &MemberId, frame: &Frame) {
+        if let Some(outbox) = self.outboxes.get(&to.name) {
+            outbox.send(to, frame);
+        }
+    }
+}
--- a/src/net/fleet/hold.rs
+++ b/src/net/fleet/hold.rs
@@ -117,7 +117,7 @@
         }
     }
 
-    fn tell(&self, what: impl FnOnce(&Driver)) {
+    fn tell(&self, what: impl FnOnce(&Rc<Driver>)) {
         if let Some(driver) = self.0.driver.upgrade().filter(|_| !self.is_stopped()) {
             what(&driver);
         }
--- /dev/null
+++ b/src/net/fleet/link.rs
@@ -0,0 +1,165 @@
+//! The connection that this member dials to another one, on which it writes; what is written waits in a bounded queue.
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use event_listener::Event as Wake;
+use futures_lite::{AsyncWriteExt, FutureExt};
+
+use super::driver::Driver;
+use super::frames::{self, Frame, FrameError};
+use crate::fleet::MemberId;
+use crate::net::buffer::Buffer;
+use crate::net::by;
+
+/// Rests between two dials: short at first, since a member that restarts is back at once.
+const REST: Duration = Duration::from_millis(20);
+const LONGEST_REST: Duration = Duration::from_millis(500);
+/// A connect and both hellos together, and one write: who takes longer is no better reached than one that is gone.
+const GREET: Duration = Duration::from_secs(1);
+const WRITE: Duration = Duration::from_secs(5);
+/// Frames are put together up to this for one write.
+const TOGETHER: usize = 64 << 10;
+/// Of the largest frames, so many may wait. Guards the memory: the count alone would let a queue of them grow to a GiB.
+const LARGEST: usize = 8;
+
+/// What waits for one member. What finds no room, or no connection, is dropped: the machines repeat.
+pub struct Outbox {
+    frames: RefCell<VecDeque<Vec<u8>>>,
+    bytes: Cell<usize>,
+    most: usize,
+    most_bytes: usize,
+    /// The life at the other end, while the connection is up.
+    up: RefCell<Option<MemberId>>,
+    wake: Wake,
+    pub dropped: Cell<u64>,
+}
+
+impl Outbox {
+    pub fn new(most: usize, largest: usize) -> Outbox {
+        let (frames, bytes, up, wake, dropped) = Default::default();
+        Outbox { frames, bytes, most, most_bytes: LARGEST * (largest + 4), up, wake, dropped }
+    }
+
+    /// Send to that very life: what was meant for an earlier one never reaches a later one.
+    pub fn send(&self, to: &MemberId, frame: &Frame) {
+        let room = self.frames.borrow().len() < self.most;
+        if !room || self.up.borrow().as_ref() != Some(to) {
+            return self.dropped.set(self.dropped.get() + 1);
+        }
+        let bytes = frame.bytes();
+        if self.bytes.get() + bytes.len() > self.most_bytes {
+            return self.dropped.set(self.dropped.get() + 1);
+        }
+        self.bytes.set(self.bytes.get() + bytes.len());
+        self.frames.borrow_mut().push_back(bytes);
+        self.wake.notify(1);
+    }
+
+    /// Wait for frames and take some.
+    async fn take(&self, out: &mut Vec<u8>) {
+        loop {
+            let wake = self.wake.listen();
+            while let Some(frame) = self.frames.borrow_mut().pop_front() {
+                self.bytes.set(self.bytes.get().saturating_sub(frame.len()));
+                out.extend(frame);
+                if out.len() >= TOGETHER {
+                    break;
+                }
+            }
+            if !out.is_empty() {
+                return;
+            }
+            wake.await;
+        }
+    }
+
+    fn set(&self, up: Option<MemberId>) {
+        self.frames.borrow_mut().clear();
+        self.bytes.set(0);
+        *self.up.borrow_mut() = up;
+    }
+}
+
+/// Keep a connection to the member `name` for good.
+pub async fn keep(driver: Rc<Driver>, name: Rc<str>, address: SocketAddr, outbox: Rc<Outbox>) {
+    let mut rest = REST;
+    loop {
+        let greeted = by(Instant::now() + GREET, greet(&driver, &name, address)).await;
+        match greeted.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into())) {
+            Ok((stream, buffer, id, zone)) => {
+                rest = REST;
+                outbox.set(Some(id.clone()));
+                driver.reached(&id, &zone);
+                let why = used(&stream, buffer, &outbox).await;
+                outbox.set(None);
+                driver.lost(&name, &why);
+            }
+            Err(e) => driver.lost(&name, &e),
+        }
+        Timer::at(Instant::now() + rest).await;
+        rest = (2 * rest).min(LONGEST_REST);
+    }
+}
+
+/// The connection, the life at its other end and that one's zone.
+type Greeted = (Async<TcpStream>, Buffer, MemberId, String);
+
+async fn greet(driver: &Driver, name: &str, address: SocketAddr) -> io::Result<Greeted> {
+    let mut stream = Async::<TcpStream>::connect(address).await?;
+    stream.get_ref().set_nodelay(true)?;
+    stream.write_all(&driver.hello()).await?;
+    let mut buffer = Buffer::default();
+    let refused = |e: FrameError| {
+        driver.unusable(address, &e);
+        io::Error::new(io::ErrorKind::InvalidData, e)
+    };
+    let hello = loop {
+        match frames::parse(buffer.unread(), frames::MOST_HELLO).map_err(refused)? {
+            Some((Frame::Hello(hello), length)) => {
+                buffer.consume(length);
+                break hello;
+            }
+            Some(_) => return Err(refused(FrameError::Order)),
+            None => {}
+        }
+        if buffer.fill(&mut stream).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    };
+    if hello.name != name {
+        return Err(refused(FrameError::Name(hello.name)));
+    }
+    let id = driver.greeted(&hello).map_err(refused)?;
+    Ok((stream, buffer, id, hello.zone))
+}
+
+/// Write what comes until the connection ends; why it did. The other side says nothing on it after its hello.
+async fn used(stream: &Async<TcpStream>, mut buffer: Buffer, outbox: &Outbox) -> io::Error {
+    let written = async {
+        let mut together = Vec::new();
+        loop {
+            together.clear();
+            outbox.take(&mut together).await;
+            let mut stream = stream;
+            match by(Instant::now() + WRITE, stream.write_all(&together)).await {
+                Some(Ok(())) => {}
+                Some(Err(e)) => return e,
+                None => return io::ErrorKind::TimedOut.into(),
+            }
+        }
+    };
+    let ended = async {
+        let mut stream = stream;
+        match buffer.fill(&mut stream).await {
+            Ok(0) => io::ErrorKind::UnexpectedEof.into(),
+            Ok(_) => io::ErrorKind::InvalidData.into(),
+            Err(e) => e,
+        }
+    };
+    ended.or(written).await
+}
--- /dev/null
+++ b/src/operator/fleet.rs
@@ -0,0 +1,314 @@
+//! The section `fleet`: the members that work together, and which classes of work outlive their coordinator.
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use serde::Deserialize;
+
+use super::Seg;
+use crate::fleet::config::MOST_GUARDS;
+use crate::fleet::work::message::MOST_BYTES;
+use crate::fleet::work::{self, ClassRule, WhenFull};
+use crate::fleet::{Configuration, Member, MemberId};
+use crate::interface::Effect;
+use crate::settings::Deployment;
+
+/// The most members: far more than any fleet that was measured, few enough that each keeps a link to each other one.
+const MOST_MEMBERS: usize = 4096;
+/// What a message needs beside the record that it carries.
+const ENVELOPE: usize = 4096;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct FleetFile {
+    cluster: String,
+    name: String,
+    listen: SocketAddr,
+    members: Vec<MemberFile>,
+    store: Option<PathBuf>,
+    #[serde(default)]
+    protect: BTreeMap<String, ProtectFile>,
+    #[serde(default = "lease_ms")]
+    lease_ms: f64,
+    #[serde(default = "drift")]
+    drift: f64,
+    #[serde(default)]
+    limits: LimitsFile,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MemberFile {
+    name: String,
+    address: SocketAddr,
+    zone: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ProtectFile {
+    #[serde(default = "guards")]
+    guards: usize,
+    #[serde(default = "slack_s")]
+    slack_s: f64,
+    #[serde(default)]
+    when_full: WhenFullName,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WhenFullName {
+    #[default]
+    Refuse,
+    Unprotected,
+}
+
+/// Sizes in bytes.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct LimitsFile {
+    works: usize,
+    bytes: usize,
+    record: usize,
+    taken_over: usize,
+    frame: usize,
+    queue: usize,
+}
+
+impl Default for LimitsFile {
+    fn default() -> Self {
+        let (works, bytes, record) = (4096, 64 << 20, 256 << 10);
+        LimitsFile { works, bytes, record, taken_over: 256, frame: 1 << 20, queue: 1024 }
+    }
+}
+
+fn lease_ms() -> f64 {
+    300.0
+}
+
+fn drift() -> f64 {
+    0.01
+}
+
+fn guards() -> usize {
+    3
+}
+
+fn slack_s() -> f64 {
+    5.0
+}
+
+/// The fleet as the file describes it.
+#[derive(Clone)]
+pub struct OperatorFleet {
+    pub cluster: Rc<str>,
+    /// This member.
+    pub name: Rc<str>,
+    pub listen: SocketAddr,
+    /// The founding members by name, this one among them; their incarnations (0) are not known here.
+    pub members: Rc<[Member]>,
+    /// The log's file.
+    pub store: Option<PathBuf>,
+    /// By class; `None` where it is not protected.
+    pub rules: Vec<Option<ClassRule>>,
+    pub limits: work::Limits,
+    /// The largest message between two members, in bytes.
+    pub frame: usize,
+    /// How many messages may wait for one member.
+    pub queue: usize,
+}
+
+impl OperatorFleet {
+    pub fn zone(&self) -> Rc<str> {
+        let me = self.members.iter().find(|m| m.id.name == self.name);
+        me.map_or_else(|| "".into(), |m| m.zone.clone())
+    }
+
+    /// Guards against a fleet that could not work: the path of what is at fault from the section on, and what.
+    pub(super) fn check(
+        file: FleetFile,
+        folder: &Path,
+        told: &Deployment,
+        served: bool,
+    ) -> Result<OperatorFleet, (Vec<Seg>, String)> {
+        fn bad<T>(keys: &[&str], what: &str) -> Result<T, (Vec<Seg>, String)> {
+            Err((keys.iter().map(|k| Seg::Key((*k).into())).collect(), what.into()))
+        }
+        if file.cluster.is_empty() || file.cluster.len() > 64 {
+            return bad(&["cluster"], "must be 1 to 64 bytes");
+        }
+        let members = members(&file.members)?;
+        if !members.iter().any(|m| *m.id.name == *file.name) {
+            return bad(&["name"], &format!("'{}' is not among fleet.members", file.name));
+        }
+        if !(10.0..=60_000.0).contains(&file.lease_ms) {
+            return bad(&["lease_ms"], "must be 10 to 60000");
+        }
+        if !(0.0..=0.5).contains(&file.drift) {
+            return bad(&["drift"], "must be 0 to 0.5");
+        }
+        let l = &file.limits;
+        let bounds = [
+            ("works", l.works, 1, 1 << 20),
+            ("record", l.record, 1024, MOST_BYTES - ENVELOPE),
+            ("bytes", l.bytes, l.record, 1 << 40),
+            ("taken_over", l.taken_over, 1, 1 << 20),
+            ("frame", l.frame, l.record + ENVELOPE, MOST_BYTES),
+            ("queue", l.queue, 16, 1 << 20),
+        ];
+        for (key, value, least, most) in bounds {
+            if !(least..=most).contains(&value) {
+                return bad(&["limits", key], &format!("must be {least} to {most}"));
+            }
+        }
+        let mut rules = vec![None; told.class_names.len()];
+        for (name, protect) in &file.protect {
+            let here = |key| ["protect", name.as_str(), key];
+            let Some(at) = told.class_names.iter().position(|c| c == name) else {
+                return bad(&["protect", name], &format!("no class '{name}' in settings.Classes"));
+            };
+            let (Some(rule), Some(class)) = (rules.get_mut(at), told.settings.classes.get(at)) else {
+                continue;
+            };
+            if !served {
+                return bad(&["protect", name], "there is no query_api that could execute it");
+            }
+            // A majority of two is both: one guard would make the work depend on more members, not on fewer.
+            if !(3..=MOST_GUARDS).contains(&protect.guards) {
+                return bad(&here("guards"), &format!("must be 3 to {MOST_GUARDS}"));
+            }
+            if !(0.0..=3600.0).contains(&protect.slack_s) {
+                return bad(&here("slack_s"), "must be 0 to 3600");
+            }
+            *rule = Some(ClassRule {
+                // A key's window is the servers' and may be over before a successor asks.
+                repeats: class.effect == Effect::Safe,
+                guards: protect.guards,
+                slack_ms: (protect.slack_s * 1000.0) as u64,
+                when_full: match protect.when_full {
+                    WhenFullName::Refuse => WhenFull::Refuse,
+                    WhenFullName::Unprotected => WhenFull::Unprotected,
+                },
+                worth: class.worth,
+            });
+        }
+        let limits = work::Limits {
+            works: l.works,
+            bytes: l.bytes,
+            record: l.record,
+            taken_over: l.taken_over,
+            most_tries: told.settings.most_tries.min(4) as u8,
+            lease: (file.lease_ms * 1000.0) as u64,
+            drift: file.drift,
+        };
+        Ok(OperatorFleet {
+            cluster: file.cluster.into(),
+            name: file.name.into(),
+            listen: file.listen,
+            members: members.into(),
+            store: file.store.map(|s| folder.join(s)),
+            rules,
+            limits,
+            frame: l.frame,
+            queue: l.queue,
+        })
+    }
+}
+
+fn members(listed: &[MemberFile]) -> Result<Vec<Member>, (Vec<Seg>, String)> {
+    let bad = |n: usize, key: &str, what: String| {
+        Err((vec![Seg::Key("members".into()), Seg::Index(n), Seg::Key(key.into())], what))
+    };
+    if listed.is_empty() || listed.len() > MOST_MEMBERS {
+        return Err((vec![Seg::Key("members".into())], format!("must be 1 to {MOST_MEMBERS} members")));
+    }
+    let (mut names, mut addresses, mut members) = (BTreeSet::new(), BTreeSet::new(), Vec::new());
+    for (n, m) in listed.iter().enumerate() {
+        let member =
+            Member { id: MemberId::new(&m.name, 0), zone: m.zone.as_str().into(), address: m.address };
+        if let Err(e) = Configuration::new(1, vec![member.clone()]) {
+            return bad(n, "name", e.to_string());
+        }
+        if !names.insert(&m.name) {
+            return bad(n, "name", format!("member '{}' is named twice", m.name));
+        }
+        if m.address.port() == 0 || !addresses.insert(m.address) {
+            return bad(n, "address", format!("{} is another member's, or has no port", m.address));
+        }
+        if m.zone.is_empty() || m.zone.len() > 64 {
+            return bad(n, "zone", "must be 1 to 64 bytes".into());
+        }
+        members.push(member);
+    }
+    members.sort_by(|a, b| a.id.cmp(&b.id));
+    Ok(members)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::operator::Operator;
+
+    fn parse(fleet: &str) -> Result<Operator, String> {
+        let all = include_str!("../../deploy/marlgap.json5");
+        let text = all.trim_end().strip_suffix('}').expect("an object").to_owned() + "fleet: " + fleet + "}";
+        Operator::parse(&text, Path::new("d/f")).map_err(|e| e.to_string())
+    }
+
+    const SOUND: &str = r#"{ cluster: "accra", name: "c2", listen: "127.0.0.1:7401", store: "c2.redb",
+        members: [{ name: "c2", address: "127.0.0.1:7401", zone: "b" }, { name: "c1", address: "127.0.0.1:7400", zone: "a" }],
+        protect: { "field-lookup": { slack_s: 2.5, when_full: "unprotected" } }, lease_ms: 250, limits: { works: 9 } }"#;
+
+    #[test]
+    fn a_sound_section_is_taken_over_whole() {
+        let fleet = parse(SOUND).expect("sound").fleet.expect("there");
+        let names: Vec<_> = fleet.members.iter().map(|m| &*m.id.name).collect();
+        assert_eq!((names, &*fleet.zone()), (vec!["c1", "c2"], "b"));
+        assert_eq!((fleet.store, fleet.frame), (Some("d/c2.redb".into()), 1 << 20));
+        assert_eq!((fleet.limits.works, fleet.limits.lease, fleet.limits.most_tries), (9, 250_000, 4));
+        let rules: Vec<_> = fleet.rules.iter().map(Option::is_some).collect();
+        assert_eq!(rules, [false, true, false]);
+        let rule = fleet.rules[1].clone().expect("protected");
+        assert!(
+            rule.repeats
+                && rule.guards == 3
+                && rule.slack_ms == 2500
+                && rule.when_full == WhenFull::Unprotected
+        );
+        let plain = include_str!("../../deploy/marlgap.json5");
+        assert!(
+            Operator::parse(plain, Path::new("f")).expect("sound").fleet.is_none(),
+            "off unless asked for"
+        );
+    }
+
+    #[test]
+    fn faults_are_said_with_path_and_place() {
+        let faults = [
+            (r#"cluster: "accra""#, r#"cluster: """#, "fleet.cluster: must be"),
+            (r#"name: "c2", listen"#, r#"name: "c3", listen"#, "fleet.name: 'c3' is not among"),
+            (r#"name: "c1""#, r#"name: "c2""#, "fleet.members[1].name: member 'c2' is named twice"),
+            (r#"name: "c1""#, r#"name: "c 1""#, "fleet.members[1].name: 'c 1' is no name"),
+            ("127.0.0.1:7400", "127.0.0.1:7401", "fleet.members[1].address: 127.0.0.1:7401 is another"),
+            ("127.0.0.1:7400", "127.0.0.1:0", "fleet.members[1].address: "),
+            (r#"zone: "a""#, r#"zone: """#, "fleet.members[1].zone: must be"),
+            ("field-lookup", "no-class", "fleet.protect.no-class: no class"),
+            ("slack_s: 2.5", "guards: 2", "fleet.protect.field-lookup.guards: must be 3 to 5"),
+            ("slack_s: 2.5", "slack_s: -1", "fleet.protect.field-lookup.slack_s: must be 0 to 3600"),
+            (r#""unprotected""#, r#""drop""#, "unknown variant `drop`"),
+            ("lease_ms: 250", "lease_ms: 1", "fleet.lease_ms: must be 10 to 60000"),
+            ("lease_ms: 250", "drift: -0.1", "fleet.drift: must be 0 to 0.5"),
+            ("works: 9", "works: 0", "fleet.limits.works: must be 1 to"),
+            ("works: 9", "frame: 262144", "fleet.limits.frame: must be 266240 to"),
+            ("works: 9", "bytes: 1024", "fleet.limits.bytes: must be 262144 to"),
+            ("works: 9", "queue: 1", "fleet.limits.queue: must be 16 to"),
+            ("works: 9", "works: 9, more: 1", "unknown field `more`"),
+        ];
+        for (old, new, said) in faults {
+            assert!(SOUND.contains(old), "{old}");
+            let error = parse(&SOUND.replacen(old, new, 1)).err().unwrap_or_else(|| panic!("taken: {new}"));
+            assert!(error.starts_with("d/f:") && error.contains(said) && !error.contains('\n'), "{error}");
+        }
+    }
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,5 +1,6 @@
 //! The operator's own file (`deploy/marlgap.json5`): one JSON5 document for every subsystem, read and checked whole
 //! before anything is opened. What is wrong is said in one line with its path and place.
+mod fleet;
 mod locate;
 
 use std::collections::BTreeMap;
@@ -10,6 +11,7 @@
 
 use serde::Deserialize;
 
+pub use self::fleet::OperatorFleet;
 pub use self::locate::{locate, Seg};
 use crate::pool;
 use crate::routes::{self, Routes};
@@ -48,6 +50,7 @@
     settings: serde_json::Value,
     query_api: Option<QueryApiFile>,
     grpc: Option<GrpcFile>,
+    fleet: Option<fleet::FleetFile>,
 }
 
 #[derive(Deserialize)]
@@ -162,6 +165,7 @@
 pub struct Operator {
     pub query_api: Option<QueryApi>,
     pub grpc: Option<Grpc>,
+    pub fleet: Option<OperatorFleet>,
 }
 
 impl Operator {
@@ -236,7 +240,15 @@
             let (rows, front, pool) = (g.routes, g.front, g.pool);
             Ok(Grpc { listen, source, routes, rows, front, pool, told: Rc::new(told) })
         });
-        Ok(Operator { query_api: query_api.transpose()?, grpc: grpc.transpose()? })
+        let served = query_api.is_some();
+        let fleet = file.fleet.map(|f| {
+            OperatorFleet::check(f, folder, &told, served).map_err(|(inner, what)| {
+                let mut here = vec![Seg::Key("fleet".into())];
+                here.extend(inner);
+                at(&here, what)
+            })
+        });
+        Ok(Operator { query_api: query_api.transpose()?, grpc: grpc.transpose()?, fleet: fleet.transpose()? })
     }
 }
 
