--- /dev/null
+++ b/src/fleet/work/slot.rs
@@ -0,0 +1,116 @@
+//! What a guard keeps of one piece of work: its promise and what it accepted. The rules of Paxos's acceptor, over a
+//! record that grows under one ballot by `seq`.
+use std::rc::Rc;
+
+use super::record::Record;
+use crate::fleet::{MemberId, Micros};
+
+/// A promise that nothing fulfils: the slot is sealed.
+pub const NEVER: u64 = u64::MAX;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Accepted {
+    pub ballot: u64,
+    pub seq: u64,
+    pub record: Rc<Record>,
+}
+
+/// Invariants: `promised` never falls; `accepted` never falls in the order of (ballot, seq), and was never taken under a
+/// ballot below the promise of its time. So whatever stands with a majority under one ballot is among what any later
+/// majority of promises shows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Acceptor {
+    pub promised: Option<u64>,
+    pub accepted: Option<Accepted>,
+}
+
+impl Acceptor {
+    /// Takes a record, unless a higher ballot is promised; then that one comes back. Also says no to a second opening
+    /// under ballot 0, by an owner that has forgotten the first. `guarded` is false in tests alone.
+    pub fn accept(&mut self, guarded: bool, ballot: u64, seq: u64, record: &Rc<Record>) -> Result<u64, u64> {
+        match self.promised {
+            Some(promised) if guarded && promised > ballot => return Err(promised),
+            _ => {}
+        }
+        match &self.accepted {
+            Some(a) if a.ballot == ballot && a.record.opened != record.opened => return Err(ballot),
+            // A repeat, or one that was overtaken: the record only grows, so what it brought stands here.
+            Some(a) if a.ballot == ballot && a.seq >= seq => return Ok(a.seq),
+            _ => {}
+        }
+        self.promised = Some(self.promised.map_or(ballot, |p| p.max(ballot)));
+        self.accepted = Some(Accepted { ballot, seq, record: Rc::clone(record) });
+        Ok(seq)
+    }
+
+    /// Promises a ballot, unless a higher one is promised; then that one comes back. A repeat gets its promise again.
+    pub fn prepare(&mut self, guarded: bool, ballot: u64) -> Result<(), u64> {
+        match self.promised {
+            Some(promised) if guarded && promised > ballot => Err(promised),
+            _ => {
+                self.promised = Some(self.promised.map_or(ballot, |p| p.max(ballot)));
+                Ok(())
+            }
+        }
+    }
+
+    /// Promises never to take a first record. False if there is one. A promise given to somebody who has written
+    /// nothing yet does not stand against it: that one will be refused.
+    pub fn seal(&mut self) -> bool {
+        if self.accepted.is_none() {
+            self.promised = Some(NEVER);
+        }
+        self.accepted.is_none()
+    }
+}
+
+/// One piece of work at one guard.
+#[derive(Debug)]
+pub struct Slot {
+    pub acceptor: Acceptor,
+    /// The client's end, on the own clock.
+    pub deadline: Micros,
+    /// Kept until then.
+    pub keep: Micros,
+    /// When a ballot was last promised or written here.
+    pub touched: Micros,
+    /// What stands with a majority: the outcome, or None for failed.
+    pub decided: Option<Option<bytes::Bytes>>,
+    /// Bytes that it was charged with.
+    pub bytes: usize,
+    /// Members whose clients wait for it; at most [`MOST_WAITERS`], the others ask again.
+    pub waiters: Vec<MemberId>,
+}
+
+/// A client asks two or three members, not more; who is not in this list learns the outcome when it asks again.
+pub const MOST_WAITERS: usize = 16;
+
+impl Slot {
+    pub fn new(now: Micros) -> Slot {
+        Slot {
+            acceptor: Acceptor::default(),
+            deadline: now,
+            keep: now,
+            touched: now,
+            decided: None,
+            bytes: 0,
+            waiters: Vec::new(),
+        }
+    }
+
+    pub fn record(&self) -> Option<&Rc<Record>> {
+        self.acceptor.accepted.as_ref().map(|a| &a.record)
+    }
+
+    /// Ends and times of keeping only move away.
+    pub fn until(&mut self, now: Micros, left: Micros, slack: Micros) {
+        self.deadline = self.deadline.max(now.saturating_add(left));
+        self.keep = self.keep.max(self.deadline.saturating_add(slack));
+    }
+
+    pub fn wait(&mut self, member: &MemberId) {
+        if self.waiters.len() < MOST_WAITERS && !self.waiters.contains(member) {
+            self.waiters.push(member.clone());
+        }
+    }
+}
