--- a/src/main.rs
+++ b/src/main.rs
@@ -127,6 +127,9 @@
         let address = setup.listen;
         let front = opensearch::start(setup, config.seed, apart.kept(), &executor, &closing, &log)
             .map_err(ConfigError::Start)?;
+        if let Some(fleet) = &fleet {
+            front.join(fleet.clone(), &executor);
+        }
         let listener = listen(address)?;
         info!(log, "query API listening"; "address" => %listener.get_ref().local_addr().unwrap_or(address));
         executor.spawn(count(front.core.clone(), "query API", log.clone())).detach();
--- a/src/net/opensearch/front.rs
+++ b/src/net/opensearch/front.rs
@@ -1,5 +1,6 @@
 //! The second front: clients' searches over an OpenSearch-style query API.
-use std::cell::RefCell;
+use std::borrow::Cow;
+use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use slog::{warn, Logger};
 
 use super::merge::{self, Failure, Lacks};
+use super::protected::Joined;
 use super::query::{self, BadQuery, Search};
 use super::servers::{Carried, Notes, Servers};
 use crate::core::{Core, Final, Query};
@@ -24,23 +26,24 @@
 pub struct Front {
     pub core: Rc<Core<Servers>>,
     pub told: Rc<Deployment>,
-    /// The index of each class, in the order of the classes.
-    /// The index of each class, where it has one.
+    /// The index of each class, in the order of the classes, where it has one.
     pub indices: Vec<Option<String>>,
     pub shards: u32,
     pub closing: Rc<Closing>,
     pub log: Logger,
     pub said: Ration,
+    /// The fleet that it is of, if any.
+    pub(super) joined: OnceCell<Joined>,
 }
 
 /// A search that was understood, on its way into the core.
-struct Ready {
-    search: Rc<Search>,
-    notes: Rc<RefCell<Notes>>,
-    parts: Vec<ShardId>,
-    begun: Instant,
-    deadline: Instant,
-    query: Query<Carried>,
+pub(super) struct Ready {
+    pub search: Rc<Search>,
+    pub notes: Rc<RefCell<Notes>>,
+    pub parts: Vec<ShardId>,
+    pub begun: Instant,
+    pub deadline: Instant,
+    pub query: Query<Carried>,
 }
 
 impl Front {
@@ -63,27 +66,10 @@
             };
             let answer = match self.ready(&message, &client.buffer, Instant::now()) {
                 Err(answer) => answer,
-                Ok(Ready { search, notes, parts, begun, deadline, query }) => match self.core.take(query) {
-                    None => self.refused("too many searches are open"),
-                    Some(taken) => {
-                        let ended = async { Some(taken.outcome().await) };
-                        let left = async {
-                            client.gone(message.length).await;
-                            None
-                        };
-                        match ended.or(left).await {
-                            Some(Final::Answered { whole, values }) => {
-                                let notes = notes.borrow();
-                                let lacks = lacks(&parts, &values, &notes, whole);
-                                self.answered(&search, &values, &lacks, begun)
-                            }
-                            Some(outcome) => {
-                                self.unanswered(&search, &outcome, &notes.borrow(), &parts, deadline)
-                            }
-                            // Dropping what was taken withdraws it; nothing is written, now or later.
-                            None => return,
-                        }
-                    }
+                Ok(ready) => match self.search(&mut client, &message, ready).await {
+                    Some(answer) => answer,
+                    // Nothing is written, now or later.
+                    None => return,
                 },
             };
             client.buffer.consume(message.length);
@@ -93,28 +79,70 @@
         }
     }
 
+    /// The answer to a search; `None` where its client left before.
+    async fn search(&self, client: &mut Client, message: &Message, ready: Ready) -> Option<Answer> {
+        if let Some((fleet, ask)) = self.protected(message, &client.buffer, &ready) {
+            let asked = async { Some(self.asked(&fleet, ask, ready.deadline).await) };
+            let left = async {
+                client.gone(message.length).await;
+                None
+            };
+            // What its client leaves goes on in the fleet.
+            if let Some(answer) = asked.or(left).await? {
+                return Some(answer);
+            }
+        }
+        let Ready { search, notes, parts, begun, deadline, query } = ready;
+        let Some(taken) = self.core.take(query) else {
+            return Some(self.refused("too many searches are open"));
+        };
+        let ended = async { Some(taken.outcome().await) };
+        let left = async {
+            client.gone(message.length).await;
+            None
+        };
+        // Dropping what was taken withdraws it.
+        let outcome = ended.or(left).await?;
+        let notes = notes.borrow();
+        Some(self.ended(&search, &outcome, &notes, &parts, begun, deadline))
+    }
+
     /// What to do with a request: a search to be taken, or the answer that it gets at once.
     fn ready(&self, message: &Message, buffer: &Buffer, now: Instant) -> Result<Ready, Answer> {
         let (method, target) = (message.text(buffer, &message.method), message.text(buffer, &message.path));
-        let (path, parameters) = target.split_once('?').unwrap_or((target, ""));
-        let path = percent_encoding::percent_decode_str(path).decode_utf8_lossy();
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-        let index = match (method, &segments[..]) {
-            ("GET", ["_health"]) => return Err(self.health()),
-            ("GET" | "POST", [index, "_search"]) => *index,
+        let path = path(target);
+        match (method, &segments(&path)[..]) {
+            ("GET", ["_health"]) => Err(self.health()),
+            ("GET" | "POST", [_, "_search"]) => {
+                let opaque = message.header(buffer, "X-Opaque-Id").unwrap_or("-");
+                self.understand(target, &message.body(buffer), opaque, now)
+            }
             (_, [_, "_search"]) => {
                 let answer = error(
                     405,
                     "method_not_allowed_exception",
                     &format!("[{method}] is not supported for [_search], use GET or POST"),
                 );
-                return Err(Answer { allow: Some("GET, POST"), ..answer });
+                Err(Answer { allow: Some("GET, POST"), ..answer })
             }
             _ => {
                 let reason = format!("no handler found for uri [{target}] and method [{method}]");
-                return Err(error(404, "invalid_request_exception", &reason));
+                Err(error(404, "invalid_request_exception", &reason))
             }
-        };
+        }
+    }
+
+    /// A search by its text: the same, whether its client sent it here or to another member of the fleet.
+    pub(super) fn understand(
+        &self,
+        target: &str,
+        body: &[u8],
+        opaque: &str,
+        now: Instant,
+    ) -> Result<Ready, Answer> {
+        let path = path(target);
+        let index = segments(&path).first().copied().unwrap_or_default();
+        let parameters = target.split_once('?').map_or("", |(_, parameters)| parameters);
         let refuse = |bad: BadQuery| {
             if let Some(spared) = self.said.line() {
                 warn!(self.log, "unusable search"; "error" => %bad, "spared" => spared);
@@ -128,7 +156,7 @@
         let Some(class) = self.indices.iter().position(|i| i.as_deref() == Some(index)) else {
             return Err(error(404, "index_not_found_exception", &format!("no such index [{index}]")));
         };
-        let search = Rc::new(query::parse(index, parameters, &message.body(buffer)).map_err(refuse)?);
+        let search = Rc::new(query::parse(index, parameters, body).map_err(refuse)?);
         let parts: Vec<ShardId> = match &search.shards {
             None => (0..self.shards).map(ShardId).collect(),
             Some(named) => named.iter().copied().map(ShardId).collect(),
@@ -142,7 +170,7 @@
         let wait = search.timeout.map_or(wait, |t| t.min(wait));
         let deadline = now.checked_add(wait).unwrap_or(now + Duration::from_secs(3600));
         let notes = Rc::new(RefCell::default());
-        let opaque = message.header(buffer, "X-Opaque-Id").unwrap_or("-").to_owned();
+        let opaque = opaque.to_owned();
         let (ranked, carried) = (told.second_step > 0, search.clone());
         let carried = Carried { search: carried, opaque, ranked, notes: Rc::clone(&notes) };
         let share = 1.0 / parts.len() as f64;
@@ -162,6 +190,24 @@
         Answer::new(if ready { 200 } else { 503 }, json!({"ready": ready}).to_string())
     }
 
+    /// The answer to a search, from its one final outcome.
+    pub(super) fn ended(
+        &self,
+        search: &Search,
+        outcome: &Final,
+        notes: &Notes,
+        parts: &[ShardId],
+        begun: Instant,
+        deadline: Instant,
+    ) -> Answer {
+        match outcome {
+            Final::Answered { whole, values } => {
+                self.answered(search, values, &lacks(parts, values, notes, *whole), begun)
+            }
+            _ => self.unanswered(search, outcome, notes, parts, deadline),
+        }
+    }
+
     fn answered(&self, search: &Search, values: &Values, lacks: &Lacks, begun: Instant) -> Answer {
         if !search.partial && (!lacks.failures.is_empty() || lacks.timed_out) {
             return shards_failed(search, "Partial shards failure", &lacks.failures, 503);
@@ -201,12 +247,21 @@
         Answer { retry_after, ..answer }
     }
 
-    fn refused(&self, reason: &str) -> Answer {
+    pub(super) fn refused(&self, reason: &str) -> Answer {
         let retry_after = self.told.settings.retry_after;
         Answer { retry_after, ..error(429, "rejected_execution_exception", reason) }
     }
 }
 
+fn path(target: &str) -> Cow<'_, str> {
+    let path = target.split('?').next().unwrap_or_default();
+    percent_encoding::percent_decode_str(path).decode_utf8_lossy()
+}
+
+fn segments(path: &str) -> Vec<&str> {
+    path.trim_matches('/').split('/').collect()
+}
+
 type Values = [(ShardId, Rc<[u8]>)];
 
 /// The shards that are not in an answer, and why. One that nothing is known of ran out of time.
@@ -230,7 +285,7 @@
     Lacks { total: parts.len(), failures, timed_out }
 }
 
-fn error(status: u16, kind: &str, reason: &str) -> Answer {
+pub(super) fn error(status: u16, kind: &str, reason: &str) -> Answer {
     let cause = json!({"type": kind, "reason": reason});
     let body = json!({"error": {"root_cause": [cause], "type": kind, "reason": reason}, "status": status});
     Answer::new(status, body.to_string())
--- a/src/net/opensearch/mod.rs
+++ b/src/net/opensearch/mod.rs
@@ -1,6 +1,8 @@
 //! The query API: a second front and its client side, on the same core. It listens where the operator's file says.
 pub mod front;
 pub mod merge;
+pub mod outcome;
+mod protected;
 pub mod query;
 pub mod servers;
 
@@ -35,6 +37,6 @@
     let watch = Watch::begin(core_of, servers, zones, source, "query API", log.clone());
     executor.spawn(core.clone().run()).detach();
     executor.spawn(watch.map_err(StartError::Source)?.run()).detach();
-    let (closing, log, said) = (closing.clone(), log.clone(), Default::default());
-    Ok(Rc::new(Front { core, told, indices, shards, closing, log, said }))
+    let (closing, log, (said, joined)) = (closing.clone(), log.clone(), Default::default());
+    Ok(Rc::new(Front { core, told, indices, shards, closing, log, said, joined }))
 }
--- a/src/net/opensearch/servers.rs
+++ b/src/net/opensearch/servers.rs
@@ -109,14 +109,14 @@
     }
 
     /// One request on one connection, from its place to the last byte of its answer.
-    async fn ask(self: &Rc<Self>, call: &Call<Servers>) -> Ended {
+    async fn ask(self: &Rc<Self>, call: &Call<Servers>, stop: &Stop) -> Ended {
         let Some((address, life)) = self.ready(call.replica) else { return Outcome::NotSent.into() };
         let Some(mut place) = self.connection(call.replica, address).await else {
             return self.failed(call, Outcome::NoConnection, (503, "connect_exception", "no connection"));
         };
         // The last look before the write: guards against a send that waited on a connect while the records
-        // changed.
-        if self.ready(call.replica) != Some((address, life)) {
+        // changed, or another coordinator went on with its query.
+        if self.ready(call.replica) != Some((address, life)) || stop.called_off() {
             return Outcome::NotSent.into();
         }
         let request = request(call, address);
@@ -244,7 +244,7 @@
             stop.wait().await;
             Outcome::Cancelled.into()
         };
-        let ended = by(call.deadline, self.ask(&call).or(stopped)).await;
+        let ended = by(call.deadline, self.ask(&call, &stop).or(stopped)).await;
         ended.unwrap_or(Outcome::TimedOut.into())
     }
 
