--- a/src/net/fleet/accept.rs
+++ b/src/net/fleet/accept.rs
@@ -1,7 +1,7 @@
 //! The connections that other members dial, from which this member reads.
 use std::io;
 use std::net::{TcpListener, TcpStream};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
@@ -20,15 +20,21 @@
 /// Frames of one member that are handled before others get their turn.
 const TURN: usize = 64;
 
-/// Accept for good.
-pub async fn accept(driver: Rc<Driver>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
+/// Accept for good; `executor` runs this very task, so it must not be kept alive by it.
+pub async fn accept(
+    driver: Rc<Driver>,
+    listener: Async<TcpListener>,
+    executor: Weak<LocalExecutor<'static>>,
+) {
     let (give, take) = async_channel::bounded::<()>(GREETING);
     loop {
         // A place for its greeting first.
         if give.send(()).await.is_err() {
             return;
         }
-        match listener.accept().await {
+        let accepted = listener.accept().await;
+        let Some(executor) = executor.upgrade() else { return };
+        match accepted {
             Ok((stream, from)) => {
                 let (driver, take) = (driver.clone(), take.clone());
                 let life = async move {
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -60,7 +60,7 @@
         let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
         info!(self.log, "fleet listening"; "address" => %address, "member" => %self.driver.me());
         let driver = || self.driver.clone();
-        let mut tasks = vec![executor.spawn(accept::accept(driver(), listener, executor.clone()))];
+        let mut tasks = vec![executor.spawn(accept::accept(driver(), listener, Rc::downgrade(executor)))];
         for (member, outbox) in self.driver.outboxes() {
             let (name, address) = (member.id.name.clone(), member.address);
             tasks.push(executor.spawn(link::keep(driver(), name, address, outbox.clone())));
