--- a/src/balance/admission.rs
+++ b/src/balance/admission.rs
@@ -45,12 +45,14 @@
         (class.deadline - patience).max(0.0) * f64::from(u8::from(cut))
     }
 
-    pub(super) fn take_part(&mut self, part: PartId, number: QueryNumber, shard: ShardId, weight: f64) {
+    pub(super) fn take_part(&mut self, event: &Event) {
+        let &Event::Part { part, number, shard, weight, spent, served } = event else { return };
         self.recent.taken.add(self.now);
         self.recent.arrived.add(self.now);
         let Some(query) = self.queries.get_mut(&number) else { return };
         query.parts.push(part);
-        self.parts.insert(part, Part::new(number, query.in_class, shard, weight));
+        query.served += u32::from(served);
+        self.parts.insert(part, Part::new((number, query.in_class), shard, weight, spent, served));
     }
 
     /// Parts that are out, and all of an admitted query on probation: what it holds back comes in one go.
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -125,7 +125,7 @@
         match *event {
             Event::Members { news, ref entries } => self.members(news, entries),
             Event::Query { .. } => self.take_query(event),
-            Event::Part { part, number, shard, weight } => self.take_part(part, number, shard, weight),
+            Event::Part { .. } => self.take_part(event),
             Event::Outcome { .. } => self.outcome(event),
             Event::Committed { .. } => self.committed(event),
             // A probe that failed may have waited behind parts: no proof of a bad replica.
--- a/src/balance/settle.rs
+++ b/src/balance/settle.rs
@@ -49,7 +49,7 @@
         let hopeless = !begun && query.aim > self.now && self.now + takes > query.aim;
         let streams = held.iter().any(|p| p.over && p.out());
         let worthless = first && self.now > query.aim && class.late_worth <= 0.0 && !streams;
-        let sent = held.iter().flat_map(|p| &p.attempts).map(|a| a.sent).fold(f64::INFINITY, f64::min);
+        let sent = held.iter().flat_map(|p| &p.attempts).map(Attempt::begun).fold(f64::INFINITY, f64::min);
         let done = whole || (floor < need && share >= floor - ROUNDING && share > 0.0 && due);
         let lost = over || worthless || hope < floor - ROUNDING;
         if first && sent < self.now && (done || lost) {
--- a/tests/recorded/world.rs
+++ b/tests/recorded/world.rs
@@ -228,7 +228,7 @@
             self.tries.insert(part, (query, 0));
             let open = self.open.get_mut(&query).expect("open");
             open.parts.push((part, shard));
-            events.push(Event::Part { part, number: open.number, shard, weight });
+            events.push(Event::Part { part, number: open.number, shard, weight, spent: 0, served: false });
         }
     }
 
