--- a/src/net/fleet/driver.rs
+++ b/src/net/fleet/driver.rs
@@ -151,6 +151,10 @@
         *self.executes.borrow_mut() = Some(front);
     }
 
+    pub fn executes_no_more(&self) {
+        let _ = self.executes.take();
+    }
+
     /// Ask the machine something that changes nothing.
     pub fn peek<T>(&self, what: impl FnOnce(&Works, Micros) -> T) -> T {
         what(&self.works.borrow(), self.clock.now())
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -108,6 +108,12 @@
         self.driver.dropped()
     }
 
+    /// End all that [`Fleet::begin`] began; connections end with it.
+    pub fn end(&self) {
+        self.tasks.take();
+        self.driver.executes_no_more();
+    }
+
     /// Take no new asks from here on.
     pub fn leave(&self) {
         self.leaving.set(true);
--- a/tests/fleet_links.rs
+++ b/tests/fleet_links.rs
@@ -9,9 +9,10 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use marlgap::fleet::found_first::{Kind, Note, Round};
-use marlgap::fleet::work::Message;
+use marlgap::fleet::work::{Ask, Key, Record, Reply};
+use marlgap::fleet::Configuration;
 use marlgap::net::fleet::frames::{parse, Frame, Hello};
-use marlgap::net::fleet::Fleet;
+use marlgap::net::fleet::{Execute, Fleet, Hold};
 use marlgap::operator::Operator;
 use slog::{o, Drain, Logger};
 
@@ -37,26 +38,90 @@
     (listeners, places)
 }
 
+/// Executes what this member owns: each part is sent once it is granted, and the outcome names who finished it.
+struct Front {
+    fleet: Rc<Fleet>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// It begins, and never ends.
+    idles: bool,
+}
+
+impl Execute for Front {
+    fn start(self: Rc<Self>, _: Key, record: Rc<Record>, takeover: bool, hold: Hold) {
+        let executor = self.executor.clone();
+        let run = async move {
+            for part in &record.parts {
+                let step = part.step as u8;
+                let attempt = if takeover { part.granted as u8 } else { 0 };
+                if self.idles {
+                    std::future::pending::<()>().await;
+                }
+                let sent = hold.may_send(step, part.shard, attempt).await;
+                if sent && hold.holds() {
+                    hold.value(step, part.shard, b"v"[..].into(), 1.0);
+                }
+            }
+            hold.finish(self.fleet.me().name.as_bytes().into());
+        };
+        executor.spawn(run).detach();
+    }
+}
+
+/// An ask, and where its outcome goes; none if it was not to be had.
+type Asked = (String, usize, Sender<Option<String>>);
+
 /// A member on a thread of its own.
 struct Member {
+    asks: async_channel::Sender<Asked>,
     lines: Receiver<String>,
     stop: async_channel::Sender<()>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
 impl Member {
-    fn start(name: &'static str, listener: TcpListener, places: [SocketAddr; 3]) -> Member {
+    fn start(name: &'static str, listener: TcpListener, places: [SocketAddr; 3], idles: bool) -> Member {
         let (send, lines) = channel();
+        let (asks, asked) = async_channel::unbounded::<Asked>();
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let life = move || {
             let decorator = slog_term::PlainSyncDecorator::new(Lines(send));
             let log = Logger::root(slog_term::FullFormat::new(decorator).build().fuse(), o!());
             let executor = Rc::new(LocalExecutor::new());
             let fleet = Fleet::new(&section(name, places), &log);
+            fleet.executes(Rc::new(Front { fleet: fleet.clone(), executor: executor.clone(), idles }));
             fleet.begin(Async::new(listener).expect("a listener"), &executor);
-            async_io::block_on(executor.run(async { drop(stopped.recv().await) }));
+            let (runs, asking) = (executor.clone(), fleet.clone());
+            let serve = async move {
+                while let Ok((id, size, reply)) = asked.recv().await {
+                    let (text, parts) = (vec![7; size].into(), [1, 2, 3][..].into());
+                    let ask = Ask { id: id.into(), class: 1, text, ends: asking.unix_ms() + 15_000, parts };
+                    let fleet = asking.clone();
+                    let answered = async move {
+                        let outcome = match fleet.ask(ask).await {
+                            Reply::Outcome(by) => String::from_utf8(by.to_vec()).ok(),
+                            _ => None,
+                        };
+                        let _ = reply.send(outcome);
+                    };
+                    runs.spawn(answered).detach();
+                }
+            };
+            let ended = async { stopped.recv().await.unwrap_or_default() };
+            async_io::block_on(executor.run(futures_lite::future::or(ended, serve)));
+            fleet.end();
+            slog::info!(log, "ended"; "dropped" => fleet.dropped());
         };
-        Member { lines, stop, thread: Some(std::thread::spawn(life)) }
+        Member { asks, lines, stop, thread: Some(std::thread::spawn(life)) }
+    }
+
+    /// Ask for works of so many bytes, all at once.
+    fn ask(&self, ids: impl Iterator<Item = String>, size: usize) -> Vec<Receiver<Option<String>>> {
+        let ask = |id| {
+            let (reply, outcome) = channel();
+            self.asks.try_send((id, size, reply)).expect("it lives");
+            outcome
+        };
+        ids.map(ask).collect()
     }
 
     /// Wait for a line that holds `text`.
@@ -118,11 +183,11 @@
 fn members_found_epoch_one_once_and_redial_one_that_restarts() {
     let (listeners, places) = places();
     let mut members: Vec<Member> =
-        NAMES.into_iter().zip(listeners).map(|(name, l)| Member::start(name, l, places)).collect();
+        NAMES.into_iter().zip(listeners).map(|(name, l)| Member::start(name, l, places, false)).collect();
     members.iter().for_each(|m| drop(m.log("fleet configuration, members: 3, epoch: 1")));
     drop(members.pop());
     members.iter().for_each(|m| drop(m.log("fleet member lost")));
-    let again = Member::start("c", TcpListener::bind(places[2]).expect("bound again"), places);
+    let again = Member::start("c", TcpListener::bind(places[2]).expect("bound again"), places, false);
     again.log("this member started too late to count");
     again.log("fleet configuration, members: 3, epoch: 1");
     members.iter().for_each(|m| assert!(m.log("fleet member reached").contains("member: c/")));
@@ -132,7 +197,7 @@
 fn foreign_hellos_are_refused_with_one_line_and_change_nothing() {
     let (listeners, places) = places();
     let [la, lb, lc] = listeners;
-    let a = Member::start("a", la, places);
+    let a = Member::start("a", la, places, false);
     let of = |hello: Hello| Frame::Hello(hello).bytes();
     let cases = [
         (of(Hello { cluster: "other".into(), ..hello("c", 5) }), "of another cluster, \"other\""),
@@ -146,7 +211,7 @@
         let line = a.log("WARN");
         assert!(line.contains("unusable connection in the fleet") && line.contains(said), "{line}");
     }
-    let _others = [Member::start("b", lb, places), Member::start("c", lc, places)];
+    let _others = [Member::start("b", lb, places, false), Member::start("c", lc, places, false)];
     a.log("fleet configuration, members: 3, epoch: 1");
 }
 
@@ -154,7 +219,7 @@
 fn spoilt_frames_of_a_member_end_its_connection_and_change_nothing() {
     let (listeners, places) = places();
     let [la, lb, lc] = listeners;
-    let a = Member::start("a", la, places);
+    let a = Member::start("a", la, places, false);
     let c = Frame::Hello(hello("c", 5)).bytes();
     let cases: [(&[&[u8]], &str); 5] = [
         (&[&frame(3, b"")], "a hello that is missing"),
@@ -168,6 +233,86 @@
         let line = a.log("WARN");
         assert!(line.contains("unusable connection in the fleet") && line.contains(said), "{line}");
     }
-    let _others = [Member::start("b", lb, places), Member::start("c", lc, places)];
+    let _others = [Member::start("b", lb, places, false), Member::start("c", lc, places, false)];
     a.log("fleet configuration, members: 3, epoch: 1");
 }
+
+/// All outcomes, by who finished them.
+fn outcomes(asked: Vec<Receiver<Option<String>>>) -> Vec<String> {
+    let outcome =
+        |asked: Receiver<Option<String>>| asked.recv_timeout(PATIENCE).expect("in time").expect("an outcome");
+    asked.into_iter().map(outcome).collect()
+}
+
+#[test]
+fn works_of_a_member_that_is_lost_are_finished_by_the_others() {
+    let (listeners, places) = places();
+    let [la, lb, lc] = listeners;
+    let (a, b) = (Member::start("a", la, places, false), Member::start("b", lb, places, false));
+    let c = Member::start("c", lc, places, true);
+    [&a, &b, &c].into_iter().for_each(|m| drop(m.log("fleet configuration, members: 3, epoch: 1")));
+    let listed = section("a", places).members.to_vec();
+    let config = Configuration::new(1, listed).expect("a configuration");
+    let owner = |id: &String| config.group(id.as_bytes(), 3)[0].id.name.to_string();
+    let (of_c, others): (Vec<_>, Vec<_>) = (0..60).map(|n| format!("w{n}")).partition(|id| owner(id) == "c");
+    let owners: Vec<_> = others.iter().map(owner).collect();
+    // c begins its own and sits on them.
+    let asked = a.ask(of_c.clone().into_iter(), 100);
+    assert_eq!(outcomes(a.ask(others.into_iter(), 100)), owners);
+    assert!(asked.len() > 10 && asked.iter().all(|o| o.try_recv().is_err()), "c lives");
+    drop(c);
+    let again = outcomes(b.ask(of_c.into_iter(), 100));
+    assert!(again.iter().all(|by| by == "a" || by == "b"), "{again:?}");
+    assert_eq!(outcomes(asked), again, "whoever asks under an id has the one outcome");
+}
+
+/// A member that takes part in the founding and then reads no more.
+fn deaf(listener: TcpListener, places: [SocketAddr; 3]) {
+    let next = |stream: &mut TcpStream, read: &mut Vec<u8>| loop {
+        if let Some((frame, length)) = parse(read, 1 << 20).expect("sound") {
+            read.drain(..length);
+            return frame;
+        }
+        let mut bytes = [0; 4096];
+        let n = stream.read(&mut bytes).expect("read");
+        assert!(n > 0, "closed");
+        read.extend(&bytes[..n]);
+    };
+    let said = Frame::Hello(hello("c", 5)).bytes();
+    let dialled = [places[0], places[1]].map(|at| {
+        let mut stream = TcpStream::connect(at).expect("connected");
+        stream.write_all(&said).expect("sent");
+        stream
+    });
+    let mut held = Vec::new();
+    loop {
+        let (mut stream, mut read) = (listener.accept().expect("accepted").0, Vec::new());
+        let Frame::Hello(hello) = next(&mut stream, &mut read) else { panic!("no hello") };
+        stream.write_all(&said).expect("sent");
+        while hello.name == "a" {
+            let Frame::Founding(note) = next(&mut stream, &mut read) else { continue };
+            if note.kind() == Kind::Propose {
+                let took =
+                    Note { kind: Kind::Took.into(), over: Round::default(), lives: Vec::new(), ..note };
+                (&dialled[0]).write_all(&Frame::Founding(took).bytes()).expect("sent");
+                break;
+            }
+        }
+        held.push(stream);
+    }
+}
+
+#[test]
+fn a_member_that_reads_nothing_holds_nobody_up() {
+    let (listeners, places) = places();
+    let [la, lb, lc] = listeners;
+    let (a, b) = (Member::start("a", la, places, false), Member::start("b", lb, places, false));
+    // Ends with the process: it waits for connections for good.
+    std::thread::spawn(move || deaf(lc, places));
+    [&a, &b].into_iter().for_each(|m| drop(m.log("fleet configuration, members: 3, epoch: 1")));
+    let done = outcomes(a.ask((0..120).map(|n| format!("w{n}")), 100_000));
+    assert!(done.iter().all(|by| by == "a" || by == "b"), "{done:?}");
+    a.stop.close();
+    let line = a.log("ended");
+    assert!(!line.contains("dropped: 0"), "its queue is bounded: {line}");
+}
