--- a/src/net/fleet/driver.rs
+++ b/src/net/fleet/driver.rs
@@ -281,6 +281,8 @@
 
     /// Ring the machines' bell for good.
     pub async fn tick(self: Rc<Self>) {
+        // A fleet of one is founded as soon as it is made.
+        self.carry_out();
         loop {
             let ring = self.ring.listen();
             let (works, founding) = (self.works.borrow().due(), self.founding.borrow().due());
@@ -371,7 +373,7 @@
                 }
                 *self.config.borrow_mut() = Some(config.clone());
                 self.works.borrow_mut().configure(self.clock.now(), config);
-                info!(self.log, "fleet configuration"; "epoch" => epoch, "members" => members);
+                info!(self.log, "fleet configuration"; "members" => members, "epoch" => epoch);
             }
             found_first::Act::Differs(id) => {
                 self.warn("founding members differ", &id, &"its file names others, or other zones")
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -58,7 +58,7 @@
     pub fn begin(&self, listener: Async<TcpListener>, executor: &Rc<LocalExecutor<'static>>) {
         let address = listener.get_ref().local_addr();
         let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
-        info!(self.log, "fleet listening"; "address" => %address, "member" => %self.driver.me());
+        info!(self.log, "fleet listening"; "member" => %self.driver.me(), "address" => %address);
         let driver = || self.driver.clone();
         let mut tasks = vec![executor.spawn(accept::accept(driver(), listener, Rc::downgrade(executor)))];
         for (member, outbox) in self.driver.outboxes() {
