--- a/src/net/fleet/driver.rs
+++ b/src/net/fleet/driver.rs
@@ -151,6 +151,10 @@
         *self.executes.borrow_mut() = Some(front);
     }
 
+    pub fn executes_no_more(&self) {
+        let _ = self.executes.take();
+    }
+
     /// Ask the machine something that changes nothing.
     pub fn peek<T>(&self, what: impl FnOnce(&Works, Micros) -> T) -> T {
         what(&self.works.borrow(), self.clock.now())
@@ -369,7 +373,7 @@
                 }
                 *self.config.borrow_mut() = Some(config.clone());
                 self.works.borrow_mut().configure(self.clock.now(), config);
-                info!(self.log, "fleet configuration"; "epoch" => epoch, "members" => members);
+                info!(self.log, "fleet configuration"; "members" => members, "epoch" => epoch);
             }
             found_first::Act::Differs(id) => {
                 self.warn("founding members differ", &id, &"its file names others, or other zones")
