Start a harness of several processes with stand-in wires, servers and one checker

The fleet that decides together needs faults between processes of the program shown, not only between modules.

--- /dev/null
+++ b/tests/fleet_together/cluster.rs
@@ -0,0 +1,356 @@
+//! Several processes of the program, each with its own file, with stand-ins for all that they speak to. One thread
+//! drives all stand-ins, clients and logs.
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use async_executor::{Executor, Task};
+use async_io::{Async, Timer};
+use futures_lite::io::{AsyncBufReadExt, BufReader};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use marlgap::fleet::{Configuration, Member, MemberId};
+use serde_json::json;
+
+use crate::checker::{self, ONCE};
+use crate::common::{configure, place, records, PATIENCE};
+use crate::history::{Ask, History, What};
+use crate::servers::{read_http, Servers};
+use crate::wires::Wires;
+
+pub const SERVERS: usize = 4;
+
+/// The lines of one process's log.
+#[derive(Default)]
+struct Log {
+    lines: Mutex<Vec<String>>,
+    news: Condvar,
+}
+
+struct Process {
+    child: Child,
+    log: Arc<Log>,
+    /// Where its query API listens.
+    search: SocketAddr,
+}
+
+pub struct Cluster {
+    pub history: Arc<History>,
+    pub wires: Arc<Wires>,
+    pub servers: Arc<Servers>,
+    folders: Vec<PathBuf>,
+    zones: Vec<String>,
+    processes: Vec<Option<Process>>,
+    clients: AtomicUsize,
+    executor: Arc<Executor<'static>>,
+    /// Closed: the thread ends.
+    stop: async_channel::Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// A client that waits for its answer; dropped, its connection goes.
+pub struct Client {
+    pub number: usize,
+    task: Option<Task<()>>,
+    history: Arc<History>,
+}
+
+impl Client {
+    /// Drop the connection.
+    pub fn leave(mut self) {
+        self.history.note(What::Left { client: self.number, own: true });
+        drop(self.task.take());
+    }
+
+    /// Its end: status and body, or `None` when the connection broke.
+    pub fn end(self) -> Option<(u16, String)> {
+        let number = self.number;
+        let at = self.history.wait(
+            0,
+            "the end of an ask",
+            |w| matches!(w, What::Answered { client, .. } | What::Left { client, .. } if *client == number),
+        );
+        match self.history.events().swap_remove(at).what {
+            What::Answered { status, body, .. } => Some((status, body)),
+            _ => None,
+        }
+    }
+
+    pub fn status(self) -> u16 {
+        self.end().expect("an answer").0
+    }
+}
+
+/// The files of a member: what it protects, whom it knows, where its servers are.
+fn write(folder: &std::path::Path, member: usize, doors: &[SocketAddr], zones: &[String], protect: bool) {
+    let file = folder.join("marlgap.json5");
+    let text = std::fs::read_to_string(&file).expect("read");
+    let mut all: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let settings = &mut all["settings"];
+    settings["Classes"][0]["Semantics"] = "side_effect".into();
+    settings["FamilyInfo"]["FetchParts"] = json!([0, 0, 0]);
+    let entry =
+        |(n, zone): (usize, &String)| json!({"name": name(n), "address": doors[n].to_string(), "zone": zone});
+    let members: Vec<_> = zones.iter().enumerate().map(entry).collect();
+    let class = json!({"guards": 3, "slack_s": 5.0, "when_full": "refuse"});
+    let protected = if protect { json!({"field-lookup": class, "overlap-check": class}) } else { json!({}) };
+    if members.len() > 1 || protect {
+        all["fleet"] = json!({"cluster": "t", "name": name(member), "listen": "127.0.0.1:0", "members": members,
+            "store": "log.redb", "protect": protected});
+    }
+    std::fs::write(file, all.to_string()).expect("written");
+}
+
+pub fn name(member: usize) -> String {
+    format!("c{member}")
+}
+
+impl Cluster {
+    /// A fleet with a member for each of `zones`, formed and serving.
+    pub fn start(test: &str, zones: &[&str]) -> Cluster {
+        Cluster::with(test, zones, true)
+    }
+
+    pub fn with(test: &str, zones: &[&str], protect: bool) -> Cluster {
+        let history = Arc::new(History::new());
+        let executor = Arc::new(Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let runs = executor.clone();
+        let run = async move {
+            let _ = runs.run(stopped.recv()).await;
+        };
+        let thread = Some(std::thread::spawn(|| async_io::block_on(run)));
+        let names = (0..zones.len()).map(name).collect();
+        let wires = Wires::start(&executor, history.clone(), names);
+        let servers = Servers::start(&executor, history.clone(), SERVERS, zones.len());
+        let zones: Vec<String> = zones.iter().map(|z| (*z).to_owned()).collect();
+        let folder = |n: usize| {
+            let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+            let folder = configure(&format!("fleet-{test}-{n}"), &servers.doors[n], nowhere, 3, 1000);
+            drop(std::fs::remove_file(folder.join("log.redb")));
+            write(&folder, n, &wires.doors, &zones, protect);
+            folder
+        };
+        let folders = (0..zones.len()).map(folder).collect();
+        let (processes, clients) = (zones.iter().map(|_| None).collect(), AtomicUsize::new(0));
+        let mut cluster =
+            Cluster { history, wires, servers, folders, zones, processes, clients, executor, stop, thread };
+        for n in 0..cluster.zones.len() {
+            cluster.spawn(n);
+        }
+        for n in 0..cluster.zones.len() {
+            cluster.ready(n);
+            if cluster.zones.len() > 1 || protect {
+                cluster.log(n, "fleet configuration, epoch: 1");
+            }
+        }
+        cluster
+    }
+
+    fn spawn(&mut self, n: usize) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
+        command.env_remove("RELAY_CONFIG").stderr(Stdio::piped());
+        command.arg("serve").arg("--config").arg(self.folders[n].join("marlgap.json5"));
+        let mut child = command.spawn().expect("the program starts");
+        let stderr = Async::new(child.stderr.take().expect("piped")).expect("polled");
+        let log = Arc::<Log>::default();
+        let held = log.clone();
+        let reads = async move {
+            let mut stderr = BufReader::new(stderr);
+            let mut line = String::new();
+            while stderr.read_line(&mut line).await.is_ok_and(|n| n > 0) {
+                held.lines.lock().expect("sound").push(line.trim_end().to_owned());
+                line.clear();
+                held.news.notify_all();
+            }
+        };
+        self.executor.spawn(reads).detach();
+        let search = SocketAddr::from(([127, 0, 0, 1], 0));
+        self.processes[n] = Some(Process { child, log, search });
+    }
+
+    /// Wait until a process takes searches and is reached by the others.
+    fn ready(&mut self, n: usize) {
+        let search = place(&self.log(n, "query API listening, "));
+        if std::fs::read_to_string(self.folders[n].join("marlgap.json5")).expect("read").contains("\"fleet\"")
+        {
+            let at = place(&self.log(n, "fleet listening, "));
+            self.wires.target(n, Some(at));
+        }
+        self.process_mut(n).search = search;
+    }
+
+    fn process(&self, n: usize) -> &Process {
+        self.processes[n].as_ref().expect("it runs")
+    }
+
+    fn process_mut(&mut self, n: usize) -> &mut Process {
+        self.processes[n].as_mut().expect("it runs")
+    }
+
+    pub fn pid(&self, n: usize) -> u32 {
+        self.process(n).child.id()
+    }
+
+    /// Wait for a line of a member's log; lines that came before count too.
+    pub fn log(&self, n: usize, text: &str) -> String {
+        let log = &self.process(n).log;
+        let latest = Instant::now() + PATIENCE;
+        let mut lines = log.lines.lock().expect("sound");
+        loop {
+            if let Some(line) = lines.iter().find(|l| l.contains(text)) {
+                return line.clone();
+            }
+            let left = latest.saturating_duration_since(Instant::now());
+            assert!(!left.is_zero(), "member {n} logged no '{text}', but {lines:#?}");
+            lines = log.news.wait_timeout(lines, left).expect("sound").0;
+        }
+    }
+
+    fn signal(&self, n: usize, signal: &str) {
+        let kill = Command::new("kill").arg(signal).arg(self.pid(n).to_string()).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
+    /// Kill a member; it has ended when this returns.
+    pub fn kill(&mut self, n: usize) {
+        self.history.note(What::Killed { member: n });
+        self.wires.target(n, None);
+        let mut process = self.processes[n].take().expect("it runs");
+        process.child.kill().expect("killed");
+        process.child.wait().expect("ended");
+    }
+
+    pub fn halt(&self, n: usize) {
+        self.signal(n, "-STOP");
+        self.history.note(What::Stopped { member: n });
+    }
+
+    pub fn go_on(&self, n: usize) {
+        self.history.note(What::Continued { member: n });
+        self.signal(n, "-CONT");
+    }
+
+    /// Start a killed member again, with or without what it had on disk.
+    pub fn restart(&mut self, n: usize, with_store: bool) {
+        if !with_store {
+            drop(std::fs::remove_file(self.folders[n].join("log.redb")));
+        }
+        self.spawn(n);
+        self.ready(n);
+    }
+
+    /// Take a server out of the records of all members: drained, then gone.
+    pub fn drain(&self, server: usize) {
+        for (member, folder) in self.folders.iter().enumerate() {
+            let state = |n| if n == server { "draining" } else { "up" };
+            let doors = &self.servers.doors[member];
+            let all: Vec<_> = doors.iter().enumerate().map(|(n, at)| (*at, state(n))).collect();
+            records(folder, &all);
+        }
+        self.history.note(What::Drained { server });
+    }
+
+    /// The members of the group of an id: its owner first.
+    pub fn group(&self, id: &str) -> Vec<usize> {
+        let member = |(n, zone): (usize, &String)| Member {
+            id: MemberId::new(&name(n), 1),
+            zone: zone[..].into(),
+            address: self.wires.doors[n],
+        };
+        let members = self.zones.iter().enumerate().map(member).collect();
+        let configuration = Configuration::new(1, members).expect("a configuration");
+        let group = configuration.group(id.as_bytes(), 3);
+        group.iter().map(|m| (0..self.zones.len()).find(|n| name(*n) == *m.id.name).expect("known")).collect()
+    }
+
+    /// An id that `owner` owns, the `n`th one.
+    pub fn id(&self, owner: usize, n: usize) -> String {
+        let mut ids = (0..).map(|i| format!("q{i}")).filter(|id| self.group(id)[0] == owner);
+        ids.nth(n).expect("there are more")
+    }
+
+    /// Ask a member: the answer is noted, and so is the end of the connection without one.
+    pub fn ask(&self, member: usize, ask: &Ask) -> Client {
+        let number = self.clients.fetch_add(1, Ordering::SeqCst);
+        let history = self.history.clone();
+        let at = self.process(member).search;
+        history.note(What::Asked { client: number, member, ask: ask.clone() });
+        let (asked, noted) = (ask.clone(), history.clone());
+        let task = self.executor.spawn(async move {
+            // Longer than any honest answer takes.
+            let patience = async {
+                Timer::after(Duration::from_millis(asked.wait_ms + 2000)).await;
+                None
+            };
+            let what = match exchange(at, &asked).or(patience).await {
+                Some(text) => answered(number, &text),
+                None => What::Left { client: number, own: false },
+            };
+            noted.note(what);
+        });
+        Client { number, task: Some(task), history }
+    }
+
+    /// Hold the whole run against the rules.
+    pub fn check(&self) {
+        let events = self.history.events();
+        let broken = checker::check(&events);
+        assert_eq!(broken, [], "{events:#?}");
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for process in self.processes.iter_mut().flatten() {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        self.stop.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn exchange(at: SocketAddr, ask: &Ask) -> Option<String> {
+    let stream = Async::<TcpStream>::connect(at).await.ok()?;
+    drop(stream.get_ref().set_nodelay(true));
+    let parts: Vec<String> = ask.parts.iter().map(u32::to_string).collect();
+    let body = json!({"query": {"match": {"farmer": ask.text}}, "size": 30}).to_string();
+    let request = format!(
+        "POST /{}/_search?preference=_shards:{}&timeout={}ms HTTP/1.1\r\nHost: t\r\nX-Opaque-Id: {}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        ask.index,
+        parts.join(","),
+        ask.wait_ms,
+        ask.id,
+        body.len()
+    );
+    (&stream).write_all(request.as_bytes()).await.ok()?;
+    read_http(&mut &stream).await
+}
+
+fn answered(client: usize, text: &str) -> What {
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    let retry_after = head.lines().any(|l| l.starts_with("Retry-After: "));
+    What::Answered {
+        client,
+        status: head[9..12].parse().expect("a status"),
+        retry_after,
+        body: body.to_owned(),
+    }
+}
+
+/// Three seconds for two tiles.
+pub fn fields(id: &str) -> Ask {
+    Ask { id: id.into(), index: "fields", parts: vec![0, 1], text: "ama".into(), wait_ms: 3000 }
+}
+
+/// The same of a class whose parts must not run twice.
+pub fn once(id: &str) -> Ask {
+    Ask { index: ONCE, ..fields(id) }
+}
--- /dev/null
+++ b/tests/fleet_together/main.rs
@@ -0,0 +1,10 @@
+//! Several processes of the program and faults between them: what a client sees, what the servers are asked, and one
+//! checker over it all.
+mod checker;
+mod cluster;
+#[path = "../common/mod.rs"]
+mod common;
+mod history;
+mod servers;
+mod standins;
+mod wires;
--- /dev/null
+++ b/tests/fleet_together/servers.rs
@@ -0,0 +1,159 @@
+//! Stand-in search servers: each holds one known document a tile, notes every part that it is asked for, and does what
+//! the scenario says.
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use event_listener::Event;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+
+use crate::checker::known;
+use crate::history::{History, What};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Does {
+    Serve,
+    /// Served once the gate is opened.
+    Hold,
+    Late(Duration),
+    /// A partial shard failure.
+    Fail,
+    /// Turned away before it began.
+    Busy,
+}
+
+/// A part as it came to a server.
+#[derive(Debug)]
+pub struct Part<'a> {
+    pub id: &'a str,
+    pub shard: u32,
+    pub from: usize,
+    pub server: usize,
+}
+
+type Script = Box<dyn Fn(&Part) -> Does + Send>;
+
+pub struct Servers {
+    history: Arc<History>,
+    script: Mutex<Script>,
+    open: AtomicBool,
+    opened: Event,
+    /// Of each member, the addresses of the servers as that member knows them: whom a part came from is known by it.
+    pub doors: Vec<Vec<SocketAddr>>,
+}
+
+impl Servers {
+    pub fn start(
+        executor: &Arc<Executor<'static>>,
+        history: Arc<History>,
+        count: usize,
+        members: usize,
+    ) -> Arc<Servers> {
+        let bind = |_| Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("bound");
+        let listeners: Vec<Vec<_>> = (0..members).map(|_| (0..count).map(bind).collect()).collect();
+        let address = |l: &Async<TcpListener>| l.get_ref().local_addr().expect("bound");
+        let doors = listeners.iter().map(|of| of.iter().map(address).collect()).collect();
+        let script = Mutex::new(Box::new(|_: &Part| Does::Serve) as Script);
+        let (open, opened) = Default::default();
+        let servers = Arc::new(Servers { history, script, open, opened, doors });
+        for (from, of) in listeners.into_iter().enumerate() {
+            for (server, listener) in of.into_iter().enumerate() {
+                let task = accept(Arc::downgrade(executor), servers.clone(), server, from, listener);
+                executor.spawn(task).detach();
+            }
+        }
+        servers
+    }
+
+    pub fn script(&self, script: impl Fn(&Part) -> Does + Send + 'static) {
+        *self.script.lock().expect("sound") = Box::new(script);
+    }
+
+    /// Let go of all that is held, now and later.
+    pub fn release(&self) {
+        self.open.store(true, Ordering::SeqCst);
+        self.opened.notify(usize::MAX);
+    }
+
+    async fn gate(&self) {
+        loop {
+            let opened = self.opened.listen();
+            if self.open.load(Ordering::SeqCst) {
+                return;
+            }
+            opened.await;
+        }
+    }
+}
+
+async fn accept(
+    executor: Weak<Executor<'static>>,
+    servers: Arc<Servers>,
+    server: usize,
+    from: usize,
+    listener: Async<TcpListener>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let Some(executor) = executor.upgrade() else { return };
+        let servers = servers.clone();
+        drop(stream.get_ref().set_nodelay(true));
+        let serve = async move { while answer(&servers, server, from, &mut &stream).await.is_some() {} };
+        executor.spawn(serve).detach();
+    }
+}
+
+/// One request and its answer; `None` when the connection is over.
+async fn answer(servers: &Servers, server: usize, from: usize, stream: &mut &Async<TcpStream>) -> Option<()> {
+    let message = read_http(stream).await?;
+    let Some(opaque) = message.lines().find_map(|l| l.strip_prefix("X-Opaque-Id: ")) else {
+        // A probe.
+        return stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}").await.ok();
+    };
+    let (id, shard) = opaque.rsplit_once('.')?;
+    let shard: u32 = shard.parse().ok()?;
+    let second = !message.contains("\"_source\":false");
+    let does = servers.script.lock().expect("sound")(&Part { id, shard, from, server });
+    let ran = does != Does::Busy;
+    servers.history.note(What::Part { id: id.to_owned(), shard, second, server, from, ran });
+    match does {
+        Does::Hold => servers.gate().await,
+        Does::Late(by) => drop(Timer::after(by).await),
+        _ => {}
+    }
+    let failed = u8::from(does == Does::Fail);
+    let failures = if does == Does::Fail {
+        r#""failures":[{"shard":0,"reason":{"type":"io_exception","reason":"disk"}}],"#
+    } else {
+        ""
+    };
+    let body = format!(
+        r#"{{"took":1,"timed_out":false,"_shards":{{{failures}"total":1,"successful":{},"skipped":0,"failed":{failed}}},"hits":{{"total":{{"value":1,"relation":"eq"}},"max_score":{shard}.5,"hits":[{{"_id":"{}","_score":{shard}.5}}]}}}}"#,
+        1 - failed,
+        known(shard)
+    );
+    let status = if ran { "200 OK" } else { "429 Too Many Requests" };
+    let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(answer.as_bytes()).await.ok()
+}
+
+/// One HTTP message, whole; `None` if the connection ends first.
+pub async fn read_http(stream: &mut &Async<TcpStream>) -> Option<String> {
+    let (mut bytes, mut chunk, mut wanted) = (Vec::new(), [0; 4096], None);
+    loop {
+        if wanted.is_none() {
+            wanted = bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|end| {
+                let head = String::from_utf8_lossy(&bytes[..end]);
+                let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "));
+                end + 4 + length.map_or(0, |n| n.parse().expect("a number"))
+            });
+        }
+        if wanted.is_some_and(|n| bytes.len() >= n) {
+            return String::from_utf8(bytes).ok();
+        }
+        let n = stream.read(&mut chunk).await.ok().filter(|n| *n > 0)?;
+        bytes.extend_from_slice(&chunk[..n]);
+    }
+}
--- /dev/null
+++ b/tests/fleet_together/standins.rs
@@ -0,0 +1,117 @@
+//! The stand-ins by themselves: what they do not do, no scenario shows.
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+
+use crate::checker::{self, Broken};
+use crate::cluster::{fields, once, Cluster};
+use crate::common::PATIENCE;
+use crate::history::{Ask, History, What};
+use crate::servers::Does;
+use crate::wires::{Rule, Wires};
+
+fn frame(kind: u8, text: &str) -> Vec<u8> {
+    let mut bytes = (text.len() as u32 + 1).to_be_bytes().to_vec();
+    bytes.push(kind);
+    bytes.extend(text.as_bytes());
+    bytes
+}
+
+/// The text of the next frame; `None` when the connection has ended or was reset.
+fn next(stream: &mut TcpStream) -> Option<String> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let mut rest = vec![0; u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize - 1];
+    stream.read_exact(&mut rest).ok()?;
+    Some(String::from_utf8(rest).expect("text"))
+}
+
+/// Each rule of a wire does to frames what it says, and to those of its link alone.
+#[test]
+fn wires_hold_swallow_double_reorder_and_reset_whole_frames() {
+    let executor = Arc::new(Executor::new());
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let history = Arc::new(History::new());
+    let wires = Wires::start(&executor, history.clone(), vec!["c0".into(), "c1".into()]);
+    let run = std::thread::spawn(move || async_io::block_on(executor.run(stopped.recv())));
+    let behind = TcpListener::bind("127.0.0.1:0").expect("bound");
+    wires.target(1, Some(behind.local_addr().expect("bound")));
+    let open = || {
+        let mut dialled = TcpStream::connect(wires.doors[1]).expect("connects");
+        // Name "c0", as the third field.
+        dialled.write_all(&frame(0, "\x1a\x02c0")).expect("written");
+        dialled.set_read_timeout(Some(PATIENCE)).expect("set");
+        dialled
+    };
+    let mut dialled = open();
+    let mut taken = behind.accept().expect("handed on").0;
+    taken.set_read_timeout(Some(PATIENCE)).expect("set");
+    assert_eq!(next(&mut taken).as_deref(), Some("\x1a\x02c0"), "who dialled comes first");
+    let mut send = |text: &str| dialled.write_all(&frame(1, text)).expect("written");
+    wires.watch(0, 1, "plain", "seen");
+    send("plain");
+    assert_eq!(next(&mut taken).as_deref(), Some("plain"));
+    history.wait(0, "the watched frame", |w| matches!(w, What::Carried { from: 0, to: 1, .. }));
+    wires.set(0, 1, Rule { swallow: true, ..Rule::default() });
+    send("gone");
+    history.wait(0, "a swallowed frame", |w| *w == What::Swallowed { from: 0, to: 1 });
+    wires.set(0, 1, Rule { double: true, ..Rule::default() });
+    send("twice");
+    assert_eq!((next(&mut taken).as_deref(), next(&mut taken).as_deref()), (Some("twice"), Some("twice")));
+    wires.set(0, 1, Rule { reorder: true, ..Rule::default() });
+    send("a");
+    send("b");
+    assert_eq!((next(&mut taken).as_deref(), next(&mut taken).as_deref()), (Some("b"), Some("a")));
+    send("alone");
+    assert_eq!(next(&mut taken).as_deref(), Some("alone"), "not kept for good");
+    wires.set(0, 1, Rule { delay_ms: 30, ..Rule::default() });
+    let begun = std::time::Instant::now();
+    send("late");
+    assert_eq!(next(&mut taken).as_deref(), Some("late"));
+    assert!(begun.elapsed().as_millis() >= 30);
+    // The other way has its own rule.
+    taken.write_all(&frame(1, "back")).expect("written");
+    wires.set(0, 1, Rule { refuse: true, ..Rule::default() });
+    let mut left = Vec::new();
+    let ended = taken.read_to_end(&mut left);
+    assert!(left.is_empty() && ended.is_err(), "a reset, not an end: {ended:?}");
+    assert_eq!(next(&mut open()), None, "refused");
+    wires.set(0, 1, Rule::default());
+    drop(open());
+    assert!(behind.accept().is_ok(), "healed");
+    drop((stop, wires));
+    let _ = run.join().expect("ended");
+}
+
+/// Servers, clients and checker before one process without a fleet.
+#[test]
+fn servers_and_clients_note_all_that_one_process_does() {
+    let cluster = Cluster::with("plain", &["a"], false);
+    cluster.servers.script(|part| match (part.id, part.shard) {
+        ("held", 1) => Does::Hold,
+        ("failed", 1) => Does::Fail,
+        ("late", _) => Does::Late(Duration::from_millis(20)),
+        ("busy", _) => Does::Busy,
+        _ => Does::Serve,
+    });
+    assert_eq!(cluster.ask(0, &fields("late")).status(), 200);
+    assert_eq!(cluster.ask(0, &fields("failed")).status(), 503);
+    assert_ne!(cluster.ask(0, &Ask { wait_ms: 300, ..fields("busy") }).status(), 200);
+    let held = cluster.ask(0, &fields("held"));
+    let part = |w: &What| matches!(w, What::Part { id, shard: 1, from: 0, .. } if id == "held");
+    cluster.history.wait(0, "the held part", part);
+    let gone = cluster.ask(0, &fields("held"));
+    gone.leave();
+    cluster.servers.release();
+    assert_eq!(held.status(), 200);
+    cluster.check();
+    // What one process alone can't keep is found: its attempts of a part that is asked for under one id twice.
+    assert_eq!(cluster.ask(0, &once("again")).status(), 200);
+    assert_eq!(cluster.ask(0, &once("again")).status(), 200);
+    let broken = checker::check(&cluster.history.events());
+    let twice = |shard| Broken::RanTwice { id: "again".into(), shard };
+    assert!(broken.contains(&twice(0)) && broken.contains(&twice(1)), "{broken:?}");
+}
