--- a/tests/fleet_together/cluster.rs
+++ b/tests/fleet_together/cluster.rs
@@ -295,6 +295,35 @@
         Client { number, task: Some(task), history }
     }
 
+    /// Ask one member after the other until one answers: what a client does whose connection breaks.
+    pub fn insist(&self, members: &[usize], ask: &Ask) -> (u16, String) {
+        members.iter().find_map(|m| self.ask(*m, ask).end()).expect("an answer")
+    }
+
+    /// Wait until all parts of an ask have come to servers, sent by `from`.
+    pub fn sent(&self, from: usize, ask: &Ask) {
+        for wanted in &ask.parts {
+            self.history.wait(0, "a part", |w| {
+                matches!(w, What::Part { id, shard, from: f, .. } if *id == ask.id && shard == wanted && *f == from)
+            });
+        }
+    }
+
+    /// How many times a part was sent so far.
+    pub fn tries(&self, ask: &Ask, part: u32) -> usize {
+        self.history
+            .count(0, |w| matches!(w, What::Part { id, shard, .. } if *id == ask.id && *shard == part))
+    }
+
+    /// Wait until frames of an ask's owner with the bytes that are watched for as `mark` have reached its guards.
+    pub fn carried(&self, group: &[usize], wanted: &str) {
+        for guard in &group[1..] {
+            self.history.wait(0, "a frame to a guard", |w| {
+                matches!(w, What::Carried { from, to, mark } if *from == group[0] && to == guard && mark == wanted)
+            });
+        }
+    }
+
     /// Hold the whole run against the rules.
     pub fn check(&self) {
         let events = self.history.events();
--- /dev/null
+++ b/tests/fleet_together/cuts.rs
@@ -0,0 +1,80 @@
+//! Links between members that are cut, slow or unruly.
+use std::time::Duration;
+
+use crate::cluster::{fields, once, Cluster};
+use crate::history::{Ask, What};
+use crate::servers::Does;
+use crate::wires::Rule;
+
+const FIVE: [&str; 5] = ["a", "b", "c", "d", "e"];
+const CUT: Rule = Rule { swallow: true, delay_ms: 0, reorder: false, double: false, refuse: false };
+
+/// The owner and a client of its own are cut off from all others, by `cut`, while its parts are out.
+fn cut_off(test: &str, cut: impl Fn(&Cluster, usize)) {
+    let cluster = Cluster::start(test, &FIVE);
+    cluster.servers.script(|part| if part.from == 0 { Does::Hold } else { Does::Serve });
+    let ask = fields(&cluster.id(0, 0));
+    let group = cluster.group(&ask.id);
+    let own = cluster.ask(0, &Ask { wait_ms: 1500, ..ask.clone() });
+    cluster.sent(0, &ask);
+    for other in 1..5 {
+        cut(&cluster, other);
+    }
+    assert_eq!(cluster.ask(group[1], &ask).status(), 200, "the majority goes on");
+    let from = cluster.history.len();
+    cluster.servers.release();
+    let status = own.status();
+    assert!([429, 503, 504].contains(&status), "{status}: nothing is answered without a majority");
+    let sent = |w: &What| matches!(w, What::Part { id, from: 0, .. } if *id == ask.id);
+    assert_eq!(cluster.history.count(from, sent), 0, "nor sent");
+    cluster.wires.all(Rule::default());
+    assert_eq!(cluster.ask(0, &ask).status(), 200, "healed, it learns what was decided");
+    cluster.check();
+}
+
+#[test]
+fn a_minority_with_owner_and_client_is_cut_off() {
+    cut_off("minority", |cluster, other| cluster.wires.between(&[0], &[other], CUT));
+}
+
+#[test]
+fn an_owner_that_hears_and_is_not_heard() {
+    cut_off("unheard", |cluster, other| cluster.wires.set(0, other, CUT));
+}
+
+#[test]
+fn an_owner_that_is_heard_and_does_not_hear() {
+    let cluster = Cluster::start("deaf", &FIVE);
+    cluster.servers.script(|part| if part.from == 0 { Does::Hold } else { Does::Serve });
+    let ask = fields(&cluster.id(0, 0));
+    let entry = cluster.group(&ask.id)[1];
+    let client = cluster.ask(entry, &ask);
+    cluster.sent(0, &ask);
+    for other in 1..5 {
+        cluster.wires.set(other, 0, CUT);
+    }
+    // No renewal is acknowledged: it holds nothing, and what comes in now it may not decide.
+    cluster.wires.watch(0, entry, "\"successful\":2", "outcome");
+    std::thread::sleep(Duration::from_millis(400));
+    cluster.servers.release();
+    let status = client.status();
+    assert!([200, 504].contains(&status), "{status}");
+    cluster.wires.all(Rule::default());
+    cluster.check();
+}
+
+#[test]
+fn links_that_delay_double_reorder_and_break() {
+    let cluster = Cluster::start("unruly", &["a", "b", "c"]);
+    cluster.wires.all(Rule { delay_ms: 5, reorder: true, double: true, ..Rule::default() });
+    let asks: Vec<Ask> =
+        (0..24).map(|n| if n % 3 == 0 { once(&format!("q{n}")) } else { fields(&format!("q{n}")) }).collect();
+    let clients: Vec<_> = asks.iter().enumerate().map(|(n, ask)| cluster.ask(n % 3, ask)).collect();
+    for (n, client) in clients.into_iter().enumerate() {
+        // Connections break all the while; what was lost with them is said again.
+        cluster.wires.break_off(n % 3, (n + 1) % 3);
+        let status = client.status();
+        assert!(status == 200 || (n % 3 == 0 && status == 503), "{status}");
+    }
+    cluster.check();
+}
--- a/tests/fleet_together/history.rs
+++ b/tests/fleet_together/history.rs
@@ -76,6 +76,7 @@
     Swallowed {
         from: usize,
         to: usize,
+        mark: String,
     },
 }
 
--- a/tests/fleet_together/main.rs
+++ b/tests/fleet_together/main.rs
@@ -4,7 +4,10 @@
 mod cluster;
 #[path = "../common/mod.rs"]
 mod common;
+mod cuts;
 mod history;
+mod losses;
+mod many;
 mod servers;
 mod standins;
 mod wires;
--- /dev/null
+++ b/tests/fleet_together/many.rs
@@ -0,0 +1,95 @@
+//! Many members and many asks at once.
+use crate::cluster::{fields, once, Cluster};
+use crate::history::{Ask, What};
+use crate::servers::Does;
+
+#[test]
+fn one_id_at_all_members_at_the_same_moment_is_one_piece_of_work() {
+    let cluster = Cluster::start("same-moment", &["a", "b", "c"]);
+    for n in 0..12 {
+        let ask = if n % 2 == 0 { fields(&format!("q{n}")) } else { once(&format!("q{n}")) };
+        let clients: Vec<_> = (0..3).map(|member| cluster.ask((member + n) % 3, &ask)).collect();
+        let ends: Vec<_> = clients.into_iter().map(|c| c.end().expect("an answer")).collect();
+        assert!(ends.iter().all(|end| end.0 == 200 && *end == ends[0]), "{ends:?}");
+        assert_eq!((cluster.tries(&ask, 0), cluster.tries(&ask, 1)), (1, 1));
+    }
+    cluster.check();
+}
+
+#[test]
+fn the_same_id_with_another_text_or_class_is_refused() {
+    let cluster = Cluster::start("other-text", &["a", "b", "c"]);
+    cluster.servers.script(|_| Does::Hold);
+    let ask = fields(&cluster.id(1, 0));
+    let client = cluster.ask(0, &ask);
+    cluster.sent(1, &ask);
+    let others = || [Ask { text: "kofi".into(), ..ask.clone() }, once(&ask.id)];
+    for member in 0..3 {
+        for other in others() {
+            assert_eq!(cluster.ask(member, &other).status(), 409, "while it is in hand");
+        }
+    }
+    cluster.servers.release();
+    assert_eq!(client.status(), 200);
+    for other in others() {
+        assert_eq!(cluster.ask(2, &other).status(), 409, "and once it is over");
+    }
+    cluster.check();
+}
+
+/// A client that leaves does not end the work; asked again elsewhere, it has gone on.
+#[test]
+fn a_client_that_left_asks_again_elsewhere() {
+    let cluster = Cluster::start("again", &["a", "b", "c"]);
+    cluster.servers.script(|_| Does::Hold);
+    let ask = once(&cluster.id(0, 0));
+    let client = cluster.ask(0, &ask);
+    cluster.sent(0, &ask);
+    client.leave();
+    let again = cluster.ask(1, &ask);
+    cluster.servers.release();
+    assert_eq!(again.status(), 200);
+    assert_eq!(cluster.ask(2, &ask).status(), 200);
+    assert_eq!((cluster.tries(&ask, 0), cluster.tries(&ask, 1)), (1, 1));
+    cluster.check();
+}
+
+#[test]
+fn all_of_a_zone_is_lost_while_a_server_is_drained() {
+    let mut cluster = Cluster::start("zone", &["a", "a", "b", "b", "c", "c"]);
+    cluster.servers.script(|part| if part.from < 2 { Does::Hold } else { Does::Serve });
+    let asks: Vec<Ask> = (0..16).map(|n| fields(&cluster.id(n % 2, n / 2))).collect();
+    let clients: Vec<_> = asks.iter().enumerate().map(|(n, ask)| cluster.ask(2 + n % 4, ask)).collect();
+    for (n, ask) in asks.iter().enumerate() {
+        cluster.sent(n % 2, ask);
+    }
+    cluster.drain(3);
+    cluster.kill(0);
+    cluster.kill(1);
+    for client in clients {
+        assert_eq!(client.status(), 200);
+    }
+    let taken = |w: &What| matches!(w, What::Part { from, .. } if *from >= 2);
+    assert!(cluster.history.count(0, taken) >= 32, "by those who are left");
+    cluster.check();
+}
+
+#[test]
+fn nine_members_lose_a_third_of_them_one_after_the_other() {
+    let zones = ["a", "b", "c", "a", "b", "c", "a", "b", "c"];
+    let mut cluster = Cluster::start("nine", &zones);
+    for lost in 0..3 {
+        cluster.servers.script(move |part| if part.from == lost { Does::Hold } else { Does::Serve });
+        let asks: Vec<Ask> = (0..4).map(|n| fields(&cluster.id(lost, n))).collect();
+        let clients: Vec<_> = asks.iter().enumerate().map(|(n, ask)| cluster.ask(3 + n, ask)).collect();
+        // An owner that was lost before has no part out; who takes over has.
+        asks.iter().for_each(|ask| cluster.sent(lost, ask));
+        cluster.kill(lost);
+        for (ask, client) in asks.iter().zip(clients) {
+            let alive = cluster.group(&ask.id).iter().filter(|m| **m > lost).count();
+            let status = client.status();
+            assert!(status == 200 || (alive < 2 && [429, 503, 504].contains(&status)), "{status}, {alive}");
+        }
+    }
+    cluster.check();
+}
--- a/tests/fleet_together/standins.rs
+++ b/tests/fleet_together/standins.rs
@@ -56,8 +56,8 @@
     assert_eq!(next(&mut taken).as_deref(), Some("plain"));
     history.wait(0, "the watched frame", |w| matches!(w, What::Carried { from: 0, to: 1, .. }));
     wires.set(0, 1, Rule { swallow: true, ..Rule::default() });
-    send("gone");
-    history.wait(0, "a swallowed frame", |w| *w == What::Swallowed { from: 0, to: 1 });
+    send("plain too");
+    history.wait(0, "a swallowed frame", |w| matches!(w, What::Swallowed { from: 0, to: 1, .. }));
     wires.set(0, 1, Rule { double: true, ..Rule::default() });
     send("twice");
     assert_eq!((next(&mut taken).as_deref(), next(&mut taken).as_deref()), (Some("twice"), Some("twice")));
--- a/tests/fleet_together/wires.rs
+++ b/tests/fleet_together/wires.rs
@@ -29,7 +29,7 @@
 #[derive(Default)]
 struct Link {
     rule: Rule,
-    /// Noted once a frame that holds these bytes has been handed on.
+    /// Frames that hold these bytes are noted.
     marks: Vec<(Vec<u8>, String)>,
 }
 
@@ -108,11 +108,16 @@
         self.links.lock().expect("sound").get(&pair).map_or(Rule::default(), |l| l.rule)
     }
 
-    fn carried(&self, (from, to): Pair, frame: &[u8]) {
+    /// Note a frame that holds what is watched for on its link.
+    fn seen(&self, (from, to): Pair, frame: &[u8], swallowed: bool) {
         let links = self.links.lock().expect("sound");
         for (bytes, mark) in links.get(&(from, to)).map_or(&[][..], |l| &l.marks) {
             if frame.windows(bytes.len()).any(|w| w == bytes) {
-                self.history.note(What::Carried { from, to, mark: mark.clone() });
+                let mark = mark.clone();
+                self.history.note(match swallowed {
+                    true => What::Swallowed { from, to, mark },
+                    false => What::Carried { from, to, mark },
+                });
             }
         }
     }
@@ -211,7 +216,7 @@
             };
             let rule = wires.rule(pair);
             if rule.swallow {
-                wires.history.note(What::Swallowed { from: pair.0, to: pair.1 });
+                wires.seen(pair, &frame, true);
                 continue;
             }
             let due = Instant::now() + Duration::from_millis(rule.delay_ms);
@@ -239,7 +244,7 @@
                 if to.write_all(&frame).await.is_err() {
                     return receive.close();
                 }
-                wires.carried(pair, &frame);
+                wires.seen(pair, &frame, false);
             }
         }
         true
