--- a/tests/fleet_together/standins.rs
+++ b/tests/fleet_together/standins.rs
@@ -116,3 +116,12 @@
     let twice = |shard| Broken::RanTwice { id: "again".into(), shard };
     assert!(broken.contains(&twice(0)) && broken.contains(&twice(1)), "{broken:?}");
 }
+
+/// Without a class that is protected, and through wires that are unruly from the start.
+#[test]
+fn a_fleet_forms() {
+    let cluster =
+        Cluster::with("forms", &["a", "b", "c"], Setup { protect: false, direct: false, threads: 1 });
+    assert_eq!(cluster.ask(2, &fields("q")).status(), 200);
+    cluster.check();
+}
