--- a/tests/fleet_together/cuts.rs
+++ b/tests/fleet_together/cuts.rs
@@ -1,6 +1,4 @@
 //! Links between members that are cut, slow or unruly.
-use std::time::Duration;
-
 use crate::client::{fields, once};
 use crate::cluster::Cluster;
 use crate::history::{Ask, What};
@@ -58,8 +56,13 @@
         cluster.wires.set(other, 0, CUT);
     }
     // No renewal is acknowledged: it holds nothing, and what comes in now it may not decide.
-    cluster.wires.watch(0, entry, "\"successful\":2", "outcome");
-    std::thread::sleep(Duration::from_millis(400));
+    cluster.wires.watch(entry, 0, "\x01", "acknowledged");
+    let mut at = 0;
+    // One comes each third of a lease.
+    for _ in 0..5 {
+        let swallowed = |w: &What| matches!(w, What::Swallowed { from, to: 0, .. } if *from == entry);
+        at = 1 + cluster.history.wait(at, "an acknowledgement, swallowed", swallowed);
+    }
     cluster.servers.release();
     let status = client.status();
     assert!([200, 504].contains(&status), "{status}");
