--- /dev/null
+++ b/tests/fleet_together/cluster.rs
@@ -0,0 +1,346 @@
+//! Several processes of the program, each with its own file, with stand-ins for all that they speak to. One thread
+//! drives all stand-ins, clients and logs, as a rule.
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use futures_lite::io::{AsyncBufReadExt, BufReader};
+use futures_lite::FutureExt;
+use marlgap::fleet::{Configuration, Member, MemberId};
+use serde_json::json;
+
+use crate::checker;
+use crate::client::{answered, exchange, Client};
+use crate::common::{configure, place, records, PATIENCE};
+use crate::history::{Ask, History, What};
+use crate::servers::Servers;
+use crate::wires::Wires;
+
+pub const SERVERS: usize = 4;
+
+/// The lines of one process's log.
+#[derive(Default)]
+struct Log {
+    lines: Mutex<Vec<String>>,
+    news: Condvar,
+}
+
+struct Process {
+    child: Child,
+    log: Arc<Log>,
+    /// Where its query API listens.
+    search: SocketAddr,
+}
+
+pub struct Cluster {
+    pub history: Arc<History>,
+    pub wires: Arc<Wires>,
+    pub servers: Arc<Servers>,
+    folders: Vec<PathBuf>,
+    zones: Vec<String>,
+    processes: Vec<Option<Process>>,
+    clients: AtomicUsize,
+    executor: Arc<Executor<'static>>,
+    /// Closed: the thread ends.
+    stop: async_channel::Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// How a cluster is set up.
+#[derive(Clone, Copy)]
+pub struct Setup {
+    pub protect: bool,
+    /// Members reach each other without wires of ours between them: for measurements.
+    pub direct: bool,
+    /// Threads for all stand-ins and clients.
+    pub threads: usize,
+}
+
+/// The files of a member: what it protects, whom it knows, where its servers are.
+fn write(folder: &std::path::Path, member: usize, doors: &[SocketAddr], zones: &[String], setup: Setup) {
+    let file = folder.join("marlgap.json5");
+    let text = std::fs::read_to_string(&file).expect("read");
+    let mut all: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let settings = &mut all["settings"];
+    settings["Classes"][0]["Semantics"] = "side_effect".into();
+    settings["FamilyInfo"]["FetchParts"] = json!([0, 0, 0]);
+    let entry =
+        |(n, zone): (usize, &String)| json!({"name": name(n), "address": doors[n].to_string(), "zone": zone});
+    let members: Vec<_> = zones.iter().enumerate().map(entry).collect();
+    let class = json!({"guards": 3, "slack_s": 5.0, "when_full": "refuse"});
+    let protected =
+        if setup.protect { json!({"field-lookup": class, "overlap-check": class}) } else { json!({}) };
+    if members.len() > 1 || setup.protect {
+        let listen = if setup.direct { doors[member].to_string() } else { "127.0.0.1:0".to_owned() };
+        all["fleet"] = json!({"cluster": "t", "name": name(member), "listen": listen, "members": members,
+            "store": "log.redb", "protect": protected});
+    }
+    std::fs::write(file, all.to_string()).expect("written");
+}
+
+pub fn name(member: usize) -> String {
+    format!("c{member}")
+}
+
+/// Ports that are free now.
+fn free(count: usize) -> Vec<SocketAddr> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("bound");
+    let held: Vec<TcpListener> = (0..count).map(bind).collect();
+    held.iter().map(|l| l.local_addr().expect("bound")).collect()
+}
+
+impl Cluster {
+    /// A fleet with a member for each of `zones`, formed and serving.
+    pub fn start(test: &str, zones: &[&str]) -> Cluster {
+        Cluster::with(test, zones, Setup { protect: true, direct: false, threads: 1 })
+    }
+
+    pub fn with(test: &str, zones: &[&str], setup: Setup) -> Cluster {
+        let history = Arc::new(History::new());
+        let executor = Arc::new(Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let run = |_| {
+            let (runs, stopped) = (executor.clone(), stopped.clone());
+            let run = async move {
+                let _ = runs.run(stopped.recv()).await;
+            };
+            std::thread::spawn(|| async_io::block_on(run))
+        };
+        let threads = (0..setup.threads).map(run).collect();
+        let names = (0..zones.len()).map(name).collect();
+        let wires = Wires::start(&executor, history.clone(), names);
+        let servers = Servers::start(&executor, history.clone(), SERVERS, zones.len());
+        let zones: Vec<String> = zones.iter().map(|z| (*z).to_owned()).collect();
+        let doors = if setup.direct { free(zones.len()) } else { wires.doors.clone() };
+        let folder = |n: usize| {
+            let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+            let folder = configure(&format!("fleet-{test}-{n}"), &servers.doors[n], nowhere, 3, 1000);
+            drop(std::fs::remove_file(folder.join("log.redb")));
+            write(&folder, n, &doors, &zones, setup);
+            folder
+        };
+        let folders = (0..zones.len()).map(folder).collect();
+        let (processes, clients) = (zones.iter().map(|_| None).collect(), AtomicUsize::new(0));
+        let mut cluster =
+            Cluster { history, wires, servers, folders, zones, processes, clients, executor, stop, threads };
+        for n in 0..cluster.zones.len() {
+            cluster.spawn(n);
+        }
+        for n in 0..cluster.zones.len() {
+            cluster.ready(n);
+        }
+        for n in 0..cluster.zones.len() {
+            if cluster.zones.len() > 1 || setup.protect {
+                cluster.log(n, "fleet configuration, ");
+            }
+        }
+        cluster
+    }
+
+    fn spawn(&mut self, n: usize) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
+        command.env_remove("RELAY_CONFIG").stderr(Stdio::piped());
+        command.arg("serve").arg("--config").arg(self.folders[n].join("marlgap.json5"));
+        let mut child = command.spawn().expect("the program starts");
+        let stderr = Async::new(child.stderr.take().expect("piped")).expect("polled");
+        let log = Arc::<Log>::default();
+        let held = log.clone();
+        let reads = async move {
+            let mut stderr = BufReader::new(stderr);
+            let mut line = String::new();
+            while stderr.read_line(&mut line).await.is_ok_and(|n| n > 0) {
+                held.lines.lock().expect("sound").push(line.trim_end().to_owned());
+                line.clear();
+                held.news.notify_all();
+            }
+        };
+        self.executor.spawn(reads).detach();
+        let search = SocketAddr::from(([127, 0, 0, 1], 0));
+        self.processes[n] = Some(Process { child, log, search });
+    }
+
+    /// Wait until a process takes searches and is reached by the others.
+    fn ready(&mut self, n: usize) {
+        let search = place(&self.log(n, "query API listening, "));
+        if std::fs::read_to_string(self.folders[n].join("marlgap.json5")).expect("read").contains("\"fleet\"")
+        {
+            let at = place(&self.log(n, "fleet listening, "));
+            self.wires.target(n, Some(at));
+        }
+        self.process_mut(n).search = search;
+    }
+
+    fn process(&self, n: usize) -> &Process {
+        self.processes[n].as_ref().expect("it runs")
+    }
+
+    fn process_mut(&mut self, n: usize) -> &mut Process {
+        self.processes[n].as_mut().expect("it runs")
+    }
+
+    /// Where a member takes searches.
+    pub fn search(&self, n: usize) -> SocketAddr {
+        self.process(n).search
+    }
+
+    pub fn pid(&self, n: usize) -> u32 {
+        self.process(n).child.id()
+    }
+
+    /// Wait for a line of a member's log; lines that came before count too.
+    pub fn log(&self, n: usize, text: &str) -> String {
+        let log = &self.process(n).log;
+        let latest = Instant::now() + PATIENCE;
+        let mut lines = log.lines.lock().expect("sound");
+        loop {
+            if let Some(line) = lines.iter().find(|l| l.contains(text)) {
+                return line.clone();
+            }
+            let left = latest.saturating_duration_since(Instant::now());
+            assert!(!left.is_zero(), "member {n} logged no '{text}', but {lines:#?}");
+            lines = log.news.wait_timeout(lines, left).expect("sound").0;
+        }
+    }
+
+    fn signal(&self, n: usize, signal: &str) {
+        let kill = Command::new("kill").arg(signal).arg(self.pid(n).to_string()).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
+    /// Kill a member; it has ended when this returns.
+    pub fn kill(&mut self, n: usize) {
+        self.history.note(What::Killed { member: n });
+        self.wires.target(n, None);
+        let mut process = self.processes[n].take().expect("it runs");
+        process.child.kill().expect("killed");
+        process.child.wait().expect("ended");
+    }
+
+    pub fn halt(&self, n: usize) {
+        self.signal(n, "-STOP");
+        self.history.note(What::Stopped { member: n });
+    }
+
+    pub fn go_on(&self, n: usize) {
+        self.history.note(What::Continued { member: n });
+        self.signal(n, "-CONT");
+    }
+
+    /// Start a killed member again, with or without what it had on disk.
+    pub fn restart(&mut self, n: usize, with_store: bool) {
+        if !with_store {
+            drop(std::fs::remove_file(self.folders[n].join("log.redb")));
+        }
+        self.spawn(n);
+        self.ready(n);
+        // Until it is told who counts, it can lead nobody.
+        self.log(n, "fleet configuration, ");
+    }
+
+    /// Take a server out of the records of all members: drained, then gone.
+    pub fn drain(&self, server: usize) {
+        for (member, folder) in self.folders.iter().enumerate() {
+            let state = |n| if n == server { "draining" } else { "up" };
+            let doors = &self.servers.doors[member];
+            let all: Vec<_> = doors.iter().enumerate().map(|(n, at)| (*at, state(n))).collect();
+            records(folder, &all);
+        }
+        self.history.note(What::Drained { server });
+    }
+
+    /// The members of the group of an id: its owner first.
+    pub fn group(&self, id: &str) -> Vec<usize> {
+        let member = |(n, zone): (usize, &String)| Member {
+            id: MemberId::new(&name(n), 1),
+            zone: zone[..].into(),
+            address: self.wires.doors[n],
+        };
+        let members = self.zones.iter().enumerate().map(member).collect();
+        let configuration = Configuration::new(1, members).expect("a configuration");
+        let group = configuration.group(id.as_bytes(), 3);
+        group.iter().map(|m| (0..self.zones.len()).find(|n| name(*n) == *m.id.name).expect("known")).collect()
+    }
+
+    /// An id that `owner` owns, the `n`th one.
+    pub fn id(&self, owner: usize, n: usize) -> String {
+        let mut ids = (0..).map(|i| format!("q{i}")).filter(|id| self.group(id)[0] == owner);
+        ids.nth(n).expect("there are more")
+    }
+
+    /// Ask a member: the answer is noted, and so is the end of the connection without one.
+    pub fn ask(&self, member: usize, ask: &Ask) -> Client {
+        let number = self.clients.fetch_add(1, Ordering::SeqCst);
+        let history = self.history.clone();
+        let at = self.search(member);
+        history.note(What::Asked { client: number, member, ask: ask.clone() });
+        let (asked, noted) = (ask.clone(), history.clone());
+        let task = self.executor.spawn(async move {
+            // Longer than any honest answer takes.
+            let patience = async {
+                Timer::after(Duration::from_millis(asked.wait_ms + 2000)).await;
+                None
+            };
+            let what = match exchange(at, &asked).or(patience).await {
+                Some(text) => answered(number, &text),
+                None => What::Left { client: number, own: false },
+            };
+            noted.note(what);
+        });
+        Client { number, task: Some(task), history }
+    }
+
+    /// Ask one member after the other until one answers: what a client does whose connection breaks.
+    pub fn insist(&self, members: &[usize], ask: &Ask) -> (u16, String) {
+        members.iter().find_map(|m| self.ask(*m, ask).end()).expect("an answer")
+    }
+
+    /// Wait until all parts of an ask have come to servers, sent by `from`.
+    pub fn sent(&self, from: usize, ask: &Ask) {
+        for wanted in &ask.parts {
+            self.history.wait(0, "a part", |w| {
+                matches!(w, What::Part { id, shard, from: f, .. } if *id == ask.id && shard == wanted && *f == from)
+            });
+        }
+    }
+
+    /// How many times a part was sent so far.
+    pub fn tries(&self, ask: &Ask, part: u32) -> usize {
+        self.history
+            .count(0, |w| matches!(w, What::Part { id, shard, .. } if *id == ask.id && *shard == part))
+    }
+
+    /// Wait until frames of an ask's owner with the bytes that are watched for as `mark` have reached its guards.
+    pub fn carried(&self, group: &[usize], wanted: &str) {
+        for guard in &group[1..] {
+            self.history.wait(0, "a frame to a guard", |w| {
+                matches!(w, What::Carried { from, to, mark } if *from == group[0] && to == guard && mark == wanted)
+            });
+        }
+    }
+
+    /// Hold the whole run against the rules.
+    pub fn check(&self) {
+        let events = self.history.events();
+        let broken = checker::check(&events);
+        assert_eq!(broken, [], "{events:#?}");
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for process in self.processes.iter_mut().flatten() {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        self.stop.close();
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
