--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -1,7 +1,7 @@
 //! What protection costs, and how long a client waits when its coordinator is killed:
 //!
 //! ```sh
-//! cargo bench --bench fleet            # all; FLEET_KILLS=5 for fewer kills
+//! cargo bench --bench fleet            # all; FLEET_KILLS=5 FLEET_ROUNDS=1 for less
 //! ```
 //!
 //! Rates and latencies are ratios of one run, with protection over without in rounds that take turns, since absolute
@@ -73,14 +73,19 @@
     (times.len() as f64 / SPAN.as_secs_f64(), times)
 }
 
+/// A bounded number from the environment.
+fn told(name: &str, default: usize) -> usize {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(default).clamp(1, 500)
+}
+
 /// Protection over without, by number of processes and of clients at once.
-fn cost(members: usize) {
+fn cost(members: usize, rounds: usize) {
     let start = |on: bool| Cluster::with(&format!("bench-{members}-{on}"), &ZONES[..members], setup(on));
     let (on, off) = (start(true), start(false));
     for at_once in [1, 2 * members, 16 * members.min(4)] {
         let mut seen = Vec::new();
-        for round in 0..ROUNDS {
-            let tag = at_once * ROUNDS + round;
+        for round in 0..rounds {
+            let tag = at_once * rounds + round;
             let (plain, guarded) = (load(&off, members, at_once, tag), load(&on, members, at_once, tag));
             seen.push([
                 quantile(&guarded.1, 0.5) / quantile(&plain.1, 0.5),
@@ -158,9 +163,9 @@
     if !std::env::args().any(|a| a == "--bench") {
         return;
     }
-    let kills = std::env::var("FLEET_KILLS").ok().and_then(|n| n.parse().ok()).unwrap_or(KILLS).min(500);
+    let kills = told("FLEET_KILLS", KILLS);
     for members in [1, 3, 9] {
-        cost(members);
+        cost(members, told("FLEET_ROUNDS", ROUNDS));
     }
     let mut all = Killed::default();
     for n in 0..kills {
