--- a/tests/fleet_together/cluster.rs
+++ b/tests/fleet_together/cluster.rs
@@ -80,6 +80,10 @@
         let listen = if setup.direct { doors[member].to_string() } else { "127.0.0.1:0".to_owned() };
         all["fleet"] = json!({"cluster": "t", "name": name(member), "listen": listen, "members": members,
             "store": "log.redb", "protect": protected});
+        if setup.direct {
+            // Outcomes are kept for seconds: at a measurement's rate the default fills up.
+            all["fleet"]["limits"] = json!({"works": 1_048_576, "bytes": 1_u64 << 32});
+        }
     }
     std::fs::write(file, all.to_string()).expect("written");
 }
