Let an owner that nobody acknowledges fall silent, and leave the time left out of a text

Cause: found by the scenarios of several processes. An owner whose frames reach its guards but who hears nothing kept renewing its lease by what it said again, so no guard took over and the client got 504 after its whole time. And a client that asks again under its id with the time that is left as `timeout=` was refused with 409, as another text. Change: a ballot whose lease has not held for two leases is given up, and a repeated prepare no longer counts as news of its sender (`owner.rs`, `guard.rs`); the text of a protected search has no `timeout` (`outcome.rs`), the record's end says it.

--- a/src/fleet/work/guard.rs
+++ b/src/fleet/work/guard.rs
@@ -97,9 +97,11 @@
             no.full = true;
             return self.send(&from, Body::Rejected(no));
         };
+        let again = slot.acceptor.promised == Some(m.ballot);
         match slot.acceptor.prepare(guarded, m.ballot) {
             Ok(()) => {
-                slot.touched = now;
+                // A repeat is no news: who hears no promise must not keep others from their turn.
+                slot.touched = if again { slot.touched } else { now };
                 slot.until(now, m.left_us, slack);
                 let (accepted, seq, record) = match &slot.acceptor.accepted {
                     Some(a) => (a.ballot, a.seq, Some((*a.record).clone())),
--- a/src/fleet/work/led.rs
+++ b/src/fleet/work/led.rs
@@ -78,6 +78,8 @@
     pub deadline: Micros,
     pub keep: Micros,
     pub resend: Micros,
+    /// When its lease was last seen to hold; at first, when this ballot began to be led.
+    pub held: Micros,
 }
 
 pub fn majority(size: usize) -> usize {
@@ -117,6 +119,7 @@
             deadline: now,
             keep: now,
             resend: now,
+            held: now,
         }
     }
 
--- a/src/fleet/work/opening.rs
+++ b/src/fleet/work/opening.rs
@@ -169,6 +169,7 @@
         if led.rank == 0 && promised.is_none() {
             let record = led.seed.clone().unwrap_or_default();
             led.lead(record, 0, false);
+            led.held = self.now;
             self.counts.opened += 1;
             self.dirty.insert(work.clone());
             return;
@@ -185,6 +186,7 @@
     fn go_on(&mut self, work: &WorkId) {
         let now = self.now;
         let Some(led) = self.led.get_mut(work) else { return };
+        led.held = now;
         match (led.best.take(), led.seed.clone()) {
             (Some(best), seed) => {
                 // Who waited for the seed, perhaps of another text, asks again.
--- a/src/fleet/work/owner.rs
+++ b/src/fleet/work/owner.rs
@@ -22,7 +22,9 @@
         let record_first = self.guards.record_first;
         let outcome_stands = led.outcome_at.is_some_and(|at| at <= stands)
             || !self.guards.outcome_first && led.outcome_at.is_some();
+        let now = self.now;
         let Some(led) = self.led.get_mut(work) else { return };
+        led.held = if holds { now } else { led.held };
         let key = led.key;
         if !led.started && !led.record.over() && (stands >= led.first || !record_first) {
             led.started = true;
@@ -269,7 +271,12 @@
             let Some(led) = self.led.get(&work) else { continue };
             // Another ballot is about and no majority keeps this one's lease: it will not come back by itself.
             let lost = led.phase == Phase::Lead && led.count(|v| v.rejected) > 0 && !self.led_holds(led, now);
-            if lost {
+            // Nothing is acknowledged any more: who is heard and does not hear must fall silent, or its guards would
+            // keep its lease and nobody take over.
+            let deaf = led.phase == Phase::Lead
+                && now > led.held.saturating_add(2 * self.leases.guarded())
+                && !self.led_holds(led, now);
+            if lost || deaf {
                 self.lose(&work);
                 continue;
             }
--- a/src/net/opensearch/outcome.rs
+++ b/src/net/opensearch/outcome.rs
@@ -44,6 +44,17 @@
         [&length.to_be_bytes()[..], self.target.as_bytes(), self.body].concat()
     }
 
+    /// The target without its `timeout`: who asks again under an id names the time that is left, and means the same
+    /// search. The record has the client's end by itself.
+    pub fn untimed(target: &str) -> String {
+        let Some((path, query)) = target.split_once('?') else { return target.to_owned() };
+        let kept: Vec<&str> = query.split('&').filter(|p| p.split('=').next() != Some("timeout")).collect();
+        if kept.is_empty() {
+            return path.to_owned();
+        }
+        [path, &kept.join("&")].join("?")
+    }
+
     pub fn decode(bytes: &'a [u8]) -> Result<Text<'a>, Spoilt> {
         let (length, rest) = bytes.split_first_chunk().ok_or(Spoilt::Cut)?;
         let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
@@ -87,6 +98,18 @@
 
     use super::*;
 
+    #[test]
+    fn the_time_that_is_left_is_no_part_of_the_text() {
+        for (target, text) in [
+            ("/fields/_search?timeout=900ms", "/fields/_search"),
+            ("/fields/_search?q=a&timeout=1s&size=3", "/fields/_search?q=a&size=3"),
+            ("/fields/_search?q=timeout=1s", "/fields/_search?q=timeout=1s"),
+            ("/fields/_search", "/fields/_search"),
+        ] {
+            assert_eq!(Text::untimed(target), text);
+        }
+    }
+
     proptest! {
         #[test]
         fn what_was_written_is_read_back(
--- a/src/net/opensearch/protected.rs
+++ b/src/net/opensearch/protected.rs
@@ -59,7 +59,7 @@
         let (target, body) = (message.text(buffer, &message.path), message.body(buffer));
         let left = ready.deadline.saturating_duration_since(Instant::now()).as_millis();
         let ends = fleet.unix_ms().saturating_add(u64::try_from(left).unwrap_or(u64::MAX));
-        let text = Text { target, body: &body }.encode().into();
+        let text = Text { target: &Text::untimed(target), body: &body }.encode().into();
         let parts = ready.parts.iter().map(|s| s.0).collect();
         Some((fleet.clone(), Ask { id: id.into(), class, text, ends, parts }))
     }
--- a/tests/fleet_links.rs
+++ b/tests/fleet_links.rs
@@ -289,7 +289,11 @@
         let (mut stream, mut read) = (listener.accept().expect("accepted").0, Vec::new());
         let Frame::Hello(hello) = next(&mut stream, &mut read) else { panic!("no hello") };
         stream.write_all(&said).expect("sent");
-        while hello.name == "a" {
+        let founds = hello.name == "a";
+        loop {
+            if !founds {
+                break;
+            }
             let Frame::Founding(note) = next(&mut stream, &mut read) else { continue };
             if note.kind() == Kind::Propose {
                 let took =
--- a/tests/fleet_together/cuts.rs
+++ b/tests/fleet_together/cuts.rs
@@ -65,7 +65,7 @@
     }
     cluster.servers.release();
     let status = client.status();
-    assert!([200, 504].contains(&status), "{status}");
+    assert_eq!(status, 200, "it falls silent, so that its guards may take over");
     cluster.wires.all(Rule::default());
     cluster.check();
 }
