--- /dev/null
+++ b/src/foresight/demand.rs
@@ -0,0 +1,227 @@
+//! What one coordinator keeps of what is asked of it: bounded tables for the window that is open, and a report of
+//! each window that is over.
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use super::report::{Class, Report, Row, SetKey};
+use super::sketch::{Distinct, Heavy};
+use crate::fleet::MemberId;
+use crate::interface::ReplicaId;
+
+/// Bounds of one window's tables.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Length of a window.
+    pub window_ms: u64,
+    /// Pairs of class and district. What comes after them counts in its class alone.
+    pub rows: usize,
+    /// Districts whose clients are counted apart: 256 bytes each.
+    pub clients: usize,
+    /// Pairs of class and tile kept by [`Heavy`].
+    pub tiles: usize,
+    /// Sets of tiles kept by [`Heavy`].
+    pub sets: usize,
+    /// Reports not yet fetched; the oldest goes first.
+    pub reports: usize,
+}
+
+/// Most tiles of one set that is kept, and classes and servers that are counted: a class needs two tables of times, and
+/// a longer set is all but a whole district.
+pub const MOST_IN_SET: usize = 64;
+pub const MOST_CLASSES: usize = 64;
+pub const MOST_SERVERS: usize = 4096;
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { window_ms: 60_000, rows: 1024, clients: 256, tiles: 4096, sets: 512, reports: 16 }
+    }
+}
+
+/// What a query asks for.
+#[derive(Clone, Copy, Debug)]
+pub enum Asks<'a> {
+    /// Its whole district, whatever that is cut into.
+    Whole,
+    Tiles(&'a [u32]),
+}
+
+/// A query as it comes in.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    pub class: u16,
+    pub district: u32,
+    pub asks: Asks<'a>,
+    /// A number that stands for the client, where a route names one.
+    pub client: Option<u64>,
+    pub bytes: u64,
+    /// It was asked before: by its client again, or of the coordinator that it was taken over from. It counts as a
+    /// repeat, and its query was counted where it was first asked.
+    pub again: bool,
+}
+
+/// Why an attempt was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    First,
+    Again,
+    Copy,
+}
+
+struct Open {
+    window: u64,
+    seen: u64,
+    classes: BTreeMap<u16, Class>,
+    rows: BTreeMap<(u16, u32), Row>,
+    clients: BTreeMap<u32, Distinct>,
+    tiles: Heavy<(u16, u32)>,
+    sets: Heavy<SetKey>,
+    servers: BTreeMap<u64, u64>,
+}
+
+impl Open {
+    fn new(window: u64, limits: &Limits) -> Open {
+        Open {
+            window,
+            seen: 0,
+            classes: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            tiles: Heavy::new(limits.tiles),
+            sets: Heavy::new(limits.sets),
+            servers: BTreeMap::new(),
+        }
+    }
+
+    fn class(&mut self, class: u16) -> Option<&mut Class> {
+        self.seen += 1;
+        within(&mut self.classes, class, MOST_CLASSES)
+    }
+}
+
+/// An entry of a bounded table: one that is there, or a new one while there is room.
+fn within<K: Ord, V: Default>(map: &mut BTreeMap<K, V>, key: K, most: usize) -> Option<&mut V> {
+    if map.len() >= most && !map.contains_key(&key) {
+        return None;
+    }
+    Some(map.entry(key).or_default())
+}
+
+/// The demand of one coordinator. Times are fleet time, Unix milliseconds; one that goes back counts in the window
+/// that is open, so that a window is never opened twice.
+pub struct Keeper {
+    me: MemberId,
+    limits: Limits,
+    open: Option<Open>,
+    over: VecDeque<Report>,
+    /// Reports that nobody fetched in time.
+    pub lost: u64,
+}
+
+impl Keeper {
+    pub fn new(me: MemberId, limits: Limits) -> Keeper {
+        let limits = Limits { window_ms: limits.window_ms.max(1), reports: limits.reports.max(1), ..limits };
+        Keeper { me, limits, open: None, over: VecDeque::new(), lost: 0 }
+    }
+
+    /// A query came in.
+    pub fn asked(&mut self, now_ms: u64, asked: &Asked<'_>) {
+        let limits = self.limits.clone();
+        let open = self.at(now_ms);
+        let Some(class) = open.class(asked.class) else { return };
+        if asked.again {
+            class.repeats += 1;
+            return;
+        }
+        class.queries += 1;
+        class.bytes_in = class.bytes_in.saturating_add(asked.bytes);
+        if let Some(client) = asked.client {
+            if let Some(all) = within(&mut open.clients, asked.district, limits.clients) {
+                all.add(client);
+            }
+        }
+        let Some(row) = within(&mut open.rows, (asked.class, asked.district), limits.rows) else { return };
+        row.queries += 1;
+        row.bytes = row.bytes.saturating_add(asked.bytes);
+        let Asks::Tiles(tiles) = asked.asks else {
+            row.whole += 1;
+            return;
+        };
+        let mut set = tiles.to_vec();
+        set.sort_unstable();
+        set.dedup();
+        row.parts += set.len() as u64;
+        set.iter().for_each(|t| open.tiles.add((asked.class, *t)));
+        if (1..=MOST_IN_SET).contains(&set.len()) {
+            open.sets.add(SetKey { class: asked.class, district: asked.district, tiles: Rc::from(set) });
+        }
+    }
+
+    /// An attempt of a part was sent.
+    pub fn sent(&mut self, now_ms: u64, class: u16, server: ReplicaId, why: Sent) {
+        let open = self.at(now_ms);
+        if let Some(n) = within(&mut open.servers, server.0, MOST_SERVERS) {
+            *n += 1;
+        }
+        let Some(class) = open.class(class) else { return };
+        match why {
+            Sent::First => class.first += 1,
+            Sent::Again => class.again += 1,
+            Sent::Copy => class.copies += 1,
+        }
+    }
+
+    /// A part was served: from its send, and the server's own work on it where that is told. Microseconds.
+    pub fn served(&mut self, now_ms: u64, class: u16, took_us: u64, work_us: Option<u64>) {
+        let Some(class) = self.at(now_ms).class(class) else { return };
+        class.took.add(took_us, 1);
+        if let Some(us) = work_us {
+            class.worked += 1;
+            class.work_us = class.work_us.saturating_add(us);
+        }
+    }
+
+    /// A query was answered, so long after it was first sent, in microseconds.
+    pub fn answered(&mut self, now_ms: u64, class: u16, took_us: u64, bytes: u64) {
+        let Some(class) = self.at(now_ms).class(class) else { return };
+        class.answers.add(took_us, 1);
+        class.bytes_out = class.bytes_out.saturating_add(bytes);
+    }
+
+    /// Reports of windows that are over. To be called once a window at least: a window without a call or an event has
+    /// no report, and counts as missing.
+    pub fn reports(&mut self, now_ms: u64) -> Vec<Report> {
+        self.at(now_ms);
+        self.over.drain(..).collect()
+    }
+
+    fn at(&mut self, now_ms: u64) -> &mut Open {
+        let window = now_ms / self.limits.window_ms;
+        if self.open.as_ref().is_some_and(|o| o.window < window) {
+            self.close();
+        }
+        let limits = &self.limits;
+        self.open.get_or_insert_with(|| Open::new(window, limits))
+    }
+
+    fn close(&mut self) {
+        let Some(open) = self.open.take() else { return };
+        if self.over.len() >= self.limits.reports {
+            self.over.pop_front();
+            self.lost += 1;
+        }
+        self.over.push_back(Report {
+            member: self.me.clone(),
+            window: open.window,
+            window_ms: self.limits.window_ms,
+            seen: open.seen,
+            classes: open.classes,
+            rows: open.rows,
+            clients: open.clients,
+            tiles_least: open.tiles.least(),
+            tiles: open.tiles.iter().map(|(k, n, e)| (*k, (n, e))).collect(),
+            sets_least: open.sets.least(),
+            sets: open.sets.iter().map(|(k, n, e)| (k.clone(), (n, e))).collect(),
+            servers: open.servers,
+        });
+    }
+}
--- /dev/null
+++ b/src/foresight/forecast/asked.rs
@@ -0,0 +1,138 @@
+//! The demand on the tiles of the base, and what it becomes on the tiles of another topology.
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Range, Unknown};
+use crate::foresight::{Demand, Topology};
+
+/// Counts of a window are taken as Poisson ones: the range has three standard errors to each side, which a stream that
+/// stays as it is leaves once in 370.
+const SIGMAS: f64 = 3.0;
+
+/// Parts a second of each class on each tile of a topology.
+pub type ByTile = BTreeMap<u16, Vec<Range>>;
+
+/// Count to rate. `low` and `high` hold what heavy hitters may be off by; then come three standard errors, the swing of
+/// the district from window to window, and the traffic of coordinators that were not heard.
+pub fn rate(count: Range, demand: &Demand, district: u32) -> Range {
+    let share = demand.coverage.share;
+    let (ebb, flood) = demand.swing.get(&district).copied().unwrap_or((1.0, 1.0));
+    let low = (count.low - SIGMAS * count.low.sqrt()).max(0.0) * ebb / share.high.max(f64::MIN_POSITIVE);
+    let high = (count.high + SIGMAS * count.high.max(1.0).sqrt()) * flood / share.low.max(1e-3);
+    let mid = count.mid / share.mid.max(1e-3);
+    Range { low: low.min(mid), mid, high: high.max(mid) }.times(1.0 / demand.seconds.max(1e-3))
+}
+
+/// Counts by class on the base's tiles. A tile's own count lies between what its reports guarantee and what they leave
+/// possible; `mid` shares out what a district's row has over the guaranteed counts, by what each may still have.
+pub fn counts(demand: &Demand, base: &Topology) -> ByTile {
+    let districts = base.districts();
+    let mut out = ByTile::new();
+    for ((class, district), row) in &demand.rows {
+        let counts = out.entry(*class).or_insert_with(|| vec![Range::default(); base.tiles().len()]);
+        let places = districts.get(district).map_or(&[][..], |p| p);
+        let told: Vec<(f64, f64)> = places
+            .iter()
+            .map(|n| {
+                let tile = base.tiles().get(*n).map_or(0, |t| t.tile);
+                let known = demand.tiles.get(&(*class, tile)).copied();
+                let (low, high) = known.unwrap_or((0, demand.tiles_least.min(row.parts)));
+                (low as f64, (high as f64).min(row.parts as f64).max(low as f64))
+            })
+            .collect();
+        let sure: f64 = told.iter().map(|(low, _)| low).sum();
+        let open: f64 = told.iter().map(|(low, high)| high - low).sum();
+        let share = ((row.parts as f64 - sure).max(0.0) / open.max(1.0)).min(1.0);
+        for (n, (low, high)) in places.iter().zip(told) {
+            if let Some(count) = counts.get_mut(*n) {
+                *count = Range { low, mid: low + share * (high - low), high };
+            }
+        }
+    }
+    out
+}
+
+/// The tiles that a query for a whole district asks for. A district that is no more goes on as what became of its
+/// tiles.
+pub struct Districts {
+    new: BTreeMap<u32, Vec<usize>>,
+    gone: BTreeMap<u32, Vec<usize>>,
+}
+
+impl Districts {
+    pub fn new(base: &Topology, to: &Topology, successors: &[Vec<u32>]) -> Districts {
+        let new = to.districts();
+        let became = |places: Vec<usize>| {
+            let all = places.iter().filter_map(|n| successors.get(*n)).flatten().map(|n| *n as usize);
+            all.collect::<BTreeSet<_>>().into_iter().collect()
+        };
+        let gone = base.districts().into_iter().filter(|(d, _)| !new.contains_key(d));
+        Districts { gone: gone.map(|(d, p)| (d, became(p))).collect(), new }
+    }
+
+    pub fn tiles(&self, district: u32) -> &[usize] {
+        self.new.get(&district).or_else(|| self.gone.get(&district)).map_or(&[], |p| p)
+    }
+
+    pub fn gone(&self) -> impl Iterator<Item = &u32> {
+        self.gone.keys()
+    }
+}
+
+/// Rates of parts on the tiles of `to`. A part of a tile that was cut goes to all of its pieces; one of tiles that
+/// became one is counted once for each set that asked for several of them.
+pub fn rates(
+    demand: &Demand,
+    base: &Topology,
+    to: &Topology,
+    successors: &[Vec<u32>],
+    districts: &Districts,
+    unknowns: &mut Vec<Unknown>,
+) -> ByTile {
+    let mut out = ByTile::new();
+    let mut lost: BTreeSet<u32> = BTreeSet::new();
+    for (class, counts) in counts(demand, base) {
+        let mut new = vec![Range::default(); to.tiles().len()];
+        for ((tile, count), becomes) in base.tiles().iter().zip(counts).zip(successors) {
+            if becomes.is_empty() && count.high > 0.0 {
+                lost.insert(tile.tile);
+            }
+            let asked = rate(count, demand, tile.district);
+            for n in becomes {
+                if let Some(sum) = new.get_mut(*n as usize) {
+                    // Whoever asks for two pieces of one tile asks once: no less than the one that is asked for most.
+                    *sum = Range {
+                        low: sum.low.max(asked.low),
+                        mid: sum.mid + asked.mid,
+                        high: sum.high + asked.high,
+                    };
+                }
+            }
+        }
+        out.insert(class, new);
+    }
+    for (set, (low, _)) in &demand.sets {
+        let mut times: BTreeMap<u32, u32> = BTreeMap::new();
+        for n in set.tiles.iter().filter_map(|t| base.index(*t)).filter_map(|n| successors.get(n)).flatten() {
+            *times.entry(*n).or_default() += 1;
+        }
+        let once = rate(Range::exact(*low as f64), demand, set.district);
+        for (n, times) in times.into_iter().filter(|(_, times)| *times > 1) {
+            if let Some(sum) = out.get_mut(&set.class).and_then(|all| all.get_mut(n as usize)) {
+                let more = f64::from(times - 1);
+                sum.mid = (sum.mid - more * once.mid).max(sum.low);
+                sum.high = (sum.high - more * once.low).max(sum.mid);
+            }
+        }
+    }
+    for ((class, district), row) in &demand.rows {
+        let whole = rate(Range::exact(row.whole as f64), demand, *district);
+        let Some(all) = out.get_mut(class).filter(|_| row.whole > 0) else { continue };
+        for n in districts.tiles(*district) {
+            if let Some(sum) = all.get_mut(*n) {
+                *sum = sum.plus(whole);
+            }
+        }
+    }
+    unknowns.extend(lost.into_iter().take(super::MOST_NAMED).map(|tile| Unknown::Retired { tile }));
+    out
+}
--- /dev/null
+++ b/src/foresight/forecast/change.rs
@@ -0,0 +1,74 @@
+//! What the change itself costs: tiles that are loaded, and servers that are cold at the moment of adoption.
+use std::collections::BTreeSet;
+
+use serde::Serialize;
+
+use super::{Given, Range, ServerLoad};
+use crate::foresight::Topology;
+use crate::interface::ReplicaId;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Change {
+    /// Tiles of the new topology that the base does not have under the same number and cut.
+    pub tiles_cut: usize,
+    /// Pairs of tile and server that hold nothing of it yet, and the weight that they load.
+    pub loads: usize,
+    pub weight: f64,
+    /// Servers that hold new tiles and were at work on others.
+    pub warm_with_new_tiles: usize,
+    pub cold: Vec<Cold>,
+}
+
+/// A server that is cold when the topology is adopted.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Cold {
+    pub server: u64,
+    /// Its load over what it stands at its start ([`ColdRule::from`](crate::interface::ColdRule) of its capacity).
+    pub times: Range,
+    /// The told multiple over which it falls, and the seconds for which it stands that.
+    pub multiple: f64,
+    pub after: f64,
+    /// Seconds until it is warm.
+    pub ramp: f64,
+}
+
+impl Cold {
+    /// Whether it may fall over.
+    pub fn falls(&self) -> bool {
+        self.times.high > self.multiple
+    }
+}
+
+pub fn change(base: &Topology, to: &Topology, given: &Given, servers: &[ServerLoad]) -> Change {
+    let mut out = Change::default();
+    let mut gained: BTreeSet<ReplicaId> = BTreeSet::new();
+    for tile in to.tiles() {
+        let own = [tile.tile];
+        let from: &[u32] = if tile.from.is_empty() { &own } else { &tile.from };
+        out.tiles_cut += usize::from(!tile.from.is_empty());
+        for holder in tile.holders.iter() {
+            let held = |f: &u32| base.tile(*f).is_some_and(|t| t.holders.contains(holder));
+            // All of what it is made of is there already.
+            if from.iter().all(held) {
+                continue;
+            }
+            out.loads += 1;
+            out.weight += *tile.weight.numer() as f64 / *tile.weight.denom() as f64;
+            gained.insert(*holder);
+        }
+    }
+    for server in servers {
+        let id = ReplicaId(server.server);
+        let cold = base.server(id).is_none() || given.cold_now.contains(&id);
+        out.warm_with_new_tiles += usize::from(!cold && gained.contains(&id));
+        let (Some(rule), Some(busy), true) = (given.cold, server.busy, cold) else { continue };
+        out.cold.push(Cold {
+            server: server.server,
+            times: busy.times(1.0 / rule.from.max(f64::MIN_POSITIVE)),
+            multiple: rule.multiple,
+            after: rule.after,
+            ramp: rule.ramp,
+        });
+    }
+    out
+}
--- /dev/null
+++ b/src/foresight/forecast/fanout.rs
@@ -0,0 +1,178 @@
+//! What one query becomes: parts, attempts, servers and rooms, by class and district.
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use super::asked::{rate, Districts};
+use super::Range;
+use crate::foresight::report::Key;
+use crate::foresight::{Demand, Topology};
+
+/// A distribution over queries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Spread {
+    pub mean: f64,
+    pub p50: f64,
+    pub p90: f64,
+    pub p99: f64,
+    pub most: f64,
+}
+
+impl Spread {
+    /// Of values with the queries that have them.
+    fn of(mut values: Vec<(f64, f64)>) -> Spread {
+        values.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let all: f64 = values.iter().map(|(_, n)| n).sum();
+        let mean = values.iter().map(|(v, n)| v * n).sum::<f64>() / all.max(f64::MIN_POSITIVE);
+        let at = |q: f64| {
+            let mut left = q * all;
+            let within = |(_, n): &&(f64, f64)| {
+                left -= n;
+                left <= 1e-9 * all
+            };
+            values.iter().find(within).or(values.last()).map_or(0.0, |(v, _)| *v)
+        };
+        Spread {
+            mean,
+            p50: at(0.5),
+            p90: at(0.9),
+            p99: at(0.99),
+            most: values.last().map_or(0.0, |(v, _)| *v),
+        }
+    }
+}
+
+/// Fan-out of the queries of one class for one district.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct FanOut {
+    pub class: u16,
+    pub district: u32,
+    pub queries_s: Range,
+    /// Different clients that asked, where they are named; the sketch's error to each side, twice.
+    pub clients: Option<Range>,
+    pub parts: Spread,
+    /// Mean parts: queries whose set is not known are taken to grow as the district's tiles do on average, at least as
+    /// its tile that grows least and at most as the one that grows most.
+    pub mean_parts: Range,
+    /// Mean attempts: parts times what a part of this class took so far.
+    pub attempts: Range,
+    pub servers: Spread,
+    pub rooms: Spread,
+    pub parts_before: f64,
+    /// Share of the queries whose set of tiles is known.
+    pub known: f64,
+}
+
+/// Where one topology puts things.
+struct Places<'a> {
+    holders: &'a [Vec<u32>],
+    rooms: Vec<u8>,
+}
+
+impl Places<'_> {
+    /// Parts, expected different servers and rooms of a query for these tiles, each part on one of its holders.
+    fn query(&self, tiles: &[usize]) -> (f64, f64, f64) {
+        let (mut servers, mut rooms) = (BTreeMap::<u32, f64>::new(), BTreeMap::<u8, f64>::new());
+        for holders in tiles.iter().filter_map(|n| self.holders.get(*n)) {
+            let each = 1.0 / holders.len().max(1) as f64;
+            let mut in_room = BTreeMap::<u8, f64>::new();
+            for h in holders {
+                *servers.entry(*h).or_insert(1.0) *= 1.0 - each;
+                let room = self.rooms.get(*h as usize).copied().unwrap_or_default();
+                *in_room.entry(room).or_default() += each;
+            }
+            for (room, share) in in_room {
+                *rooms.entry(room).or_insert(1.0) *= (1.0 - share).max(0.0);
+            }
+        }
+        let hit = |none: &f64| 1.0 - none;
+        (tiles.len() as f64, servers.values().map(hit).sum(), rooms.values().map(hit).sum())
+    }
+
+    /// The same for `parts` tiles of these, whichever.
+    fn some(&self, tiles: &[usize], parts: f64) -> (f64, f64, f64) {
+        let (mut servers, mut rooms) = (BTreeMap::<u32, f64>::new(), BTreeMap::<u8, f64>::new());
+        for holders in tiles.iter().filter_map(|n| self.holders.get(*n)) {
+            let each = 1.0 / (holders.len().max(1) * tiles.len().max(1)) as f64;
+            for h in holders {
+                *servers.entry(*h).or_default() += each;
+                *rooms.entry(self.rooms.get(*h as usize).copied().unwrap_or_default()).or_default() += each;
+            }
+        }
+        let hit = |share: &f64| 1.0 - (1.0 - share.min(1.0)).powf(parts);
+        (parts, servers.values().map(hit).sum(), rooms.values().map(hit).sum())
+    }
+}
+
+/// A set of tiles, and the queries that surely asked for it.
+type Count<'a> = (&'a [u32], f64);
+
+/// `attempts` is what a part of each class takes.
+pub fn fan_out(
+    demand: &Demand,
+    base: &Topology,
+    to: &Topology,
+    successors: &[Vec<u32>],
+    districts: &Districts,
+    attempts: &BTreeMap<u16, f64>,
+) -> Vec<FanOut> {
+    let holders = to.holders();
+    let places = Places { holders: &holders, rooms: to.servers().iter().map(|s| s.room.0).collect() };
+    let before = base.districts();
+    let grown = |n: usize| successors.get(n).map_or(0, |s| s.len()) as f64;
+    let mut sets: BTreeMap<Key, Vec<Count<'_>>> = BTreeMap::new();
+    for (set, (low, _)) in &demand.sets {
+        sets.entry((set.class, set.district)).or_default().push((&set.tiles, *low as f64));
+    }
+    let mut out = Vec::new();
+    for ((class, district), row) in &demand.rows {
+        let tiles = districts.tiles(*district);
+        let old = before.get(district).map_or(&[][..], |p| p);
+        let (mut queries, mut sure_queries, mut sure_parts, mut new_parts) = (Vec::new(), 0.0, 0.0, 0.0);
+        if row.whole > 0 {
+            queries.push((row.whole as f64, places.query(tiles)));
+            new_parts += row.whole as f64 * tiles.len() as f64;
+        }
+        for (set, count) in sets.get(&(*class, *district)).into_iter().flatten().filter(|(_, n)| *n > 0.0) {
+            let becomes =
+                set.iter().filter_map(|t| base.index(*t)).filter_map(|n| successors.get(n)).flatten();
+            let becomes: Vec<usize> =
+                becomes.map(|n| *n as usize).collect::<BTreeSet<_>>().into_iter().collect();
+            sure_queries += count;
+            sure_parts += count * set.len() as f64;
+            new_parts += count * becomes.len() as f64;
+            queries.push((*count, places.query(&becomes)));
+        }
+        let all = row.queries as f64;
+        let rest = (all - row.whole as f64 - sure_queries).max(0.0);
+        let rest_parts = (row.parts as f64 - sure_parts).max(0.0);
+        let growth = old.iter().map(|n| grown(*n)).sum::<f64>() / old.len().max(1) as f64;
+        let least = old.iter().map(|n| grown(*n)).fold(f64::INFINITY, f64::min).min(growth);
+        let most = old.iter().map(|n| grown(*n)).fold(0.0, f64::max);
+        if rest > 0.0 {
+            queries.push((rest, places.some(tiles, growth * rest_parts / rest)));
+        }
+        let spread =
+            |of: fn(&(f64, f64, f64)) -> f64| Spread::of(queries.iter().map(|(n, q)| (of(q), *n)).collect());
+        let mean = |growth: f64| (new_parts + growth * rest_parts) / all.max(1.0);
+        let mean_parts = Range { low: mean(least), mid: mean(growth), high: mean(most) };
+        let clients = demand
+            .clients
+            .get(district)
+            .map(|d| Range::exact(d.estimate()).give(2.0 * crate::foresight::sketch::DISTINCT_ERROR));
+        out.push(FanOut {
+            class: *class,
+            district: *district,
+            queries_s: rate(Range::exact(all), demand, *district),
+            clients,
+            parts: spread(|q| q.0),
+            mean_parts,
+            attempts: mean_parts.times(attempts.get(class).copied().unwrap_or(1.0)),
+            servers: spread(|q| q.1),
+            rooms: spread(|q| q.2),
+            parts_before: (row.parts as f64 + row.whole as f64 * old.len() as f64) / all.max(1.0),
+            known: (1.0 - rest / all.max(1.0)).clamp(0.0, 1.0),
+        });
+    }
+    out
+}
--- /dev/null
+++ b/src/foresight/forecast/load.rs
@@ -0,0 +1,313 @@
+//! Load by server, room and coordinator.
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use super::asked::{rate, ByTile, Districts};
+use super::draw::{Draws, Load, On};
+use super::{Given, Range, Unknown, MODEL};
+use crate::foresight::{Demand, Topology};
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ServerLoad {
+    pub server: u64,
+    pub room: u8,
+    /// Attempts a second. The range is that of the tiles it holds, and [`MODEL`] to each side.
+    pub parts_s: Range,
+    /// Its share of all attempts: what holds whatever the day's traffic comes to.
+    pub share: f64,
+    /// Share of its capacity; the work of cut tiles widens it. `None` where no work was told.
+    pub busy: Option<Range>,
+    /// Attempts a second on the base; 0 for one that it does not have.
+    pub before: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RoomLoad {
+    pub room: u8,
+    pub servers: usize,
+    pub parts_s: Range,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct CoordinatorLoad {
+    pub name: String,
+    pub queries_s: Range,
+    pub parts_s: Range,
+    /// Open connections: one to each server that its parts reach (`low` and `mid`: no more than its parts), as many as
+    /// may be to each (`high`).
+    pub connections: Range,
+}
+
+/// What was seen after adoption, held against a forecast.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Seen {
+    /// Greatest difference of a server's share of attempts from the one said, over the latter; of servers with 400
+    /// attempts or more, whose count's standard error is under 5 in 100.
+    pub load_off: f64,
+    /// Greatest excess of a class's late share over `high`.
+    pub late_over: f64,
+    pub coverage: f64,
+}
+
+/// Attempts under which a server's share says nothing.
+const ENOUGH: u64 = 400;
+
+impl super::Forecast {
+    /// Hold `demand`, seen on this topology, against what was said.
+    pub fn seen(&self, demand: &Demand, given: &Given) -> Seen {
+        let all: u64 = demand.servers.values().sum();
+        let mut load_off: f64 = 0.0;
+        for s in &self.servers {
+            let got = demand.servers.get(&s.server).copied().unwrap_or(0);
+            let said = s.share * all as f64;
+            if got >= ENOUGH || said >= ENOUGH as f64 {
+                load_off = load_off.max((got as f64 - said).abs() / said.max(1.0));
+            }
+        }
+        let mut late_over: f64 = 0.0;
+        for said in &self.lateness {
+            let class = demand.classes.get(&said.class).zip(given.classes.get(usize::from(said.class)));
+            let late = class.map_or(0.0, |(seen, told)| match seen.answers.count() {
+                0 => 0.0,
+                _ => seen.answers.over(told.aim * 1e6),
+            });
+            late_over = late_over.max(late - said.late.high);
+        }
+        Seen { load_off, late_over, coverage: demand.coverage.share.mid }
+    }
+}
+
+/// Mean work of a part by class, in seconds; `None` where it was not told.
+pub struct Work(BTreeMap<u16, Option<f64>>);
+
+impl Work {
+    pub fn new(demand: &Demand, unknowns: &mut Vec<Unknown>) -> Work {
+        let mut out = BTreeMap::new();
+        for (class, c) in &demand.classes {
+            let work = (c.worked > 0).then(|| c.work_us as f64 * 1e-6 / c.worked as f64);
+            if work.is_none() {
+                unknowns.push(Unknown::Work { class: *class });
+            }
+            out.insert(*class, work);
+        }
+        Work(out)
+    }
+
+    fn of(&self, class: u16) -> Option<f64> {
+        self.0.get(&class).copied().flatten()
+    }
+}
+
+/// A part's work on a tile over that on the tiles it was cut from: from none of it going with the weight to all.
+fn cut(to: &Topology, base: &Topology) -> Vec<Range> {
+    let weight = |w: num_rational::Ratio<u64>| *w.numer() as f64 / *w.denom() as f64;
+    let each = |t: &crate::foresight::Tile| {
+        let own = [t.tile];
+        let from: &[u32] = if t.from.is_empty() { &own } else { &t.from };
+        let old: Vec<f64> = from.iter().filter_map(|f| base.tile(*f)).map(|t| weight(t.weight)).collect();
+        if old.is_empty() {
+            return Range::exact(1.0);
+        }
+        let ratio = weight(t.weight) / (old.iter().sum::<f64>() / old.len() as f64);
+        Range { low: ratio.min(1.0), mid: 0.5 * (1.0 + ratio), high: ratio.max(1.0) }
+    };
+    to.tiles().iter().map(each).collect()
+}
+
+/// A topology's loads under a demand.
+pub struct Loads<'a> {
+    to: &'a Topology,
+    demand: &'a Demand,
+    given: &'a Given,
+    holders: Vec<Vec<u32>>,
+    /// Attempts a second and their work on each tile.
+    parts: Vec<Range>,
+    on: On,
+    draws: Draws,
+    loads: Vec<Load>,
+    /// Work, in seconds a second, and attempts of each server were its tiles split evenly.
+    even_work: Vec<Range>,
+    even: Vec<Range>,
+    told: bool,
+}
+
+impl<'a> Loads<'a> {
+    pub fn new(
+        to: &'a Topology,
+        base: &Topology,
+        rates: &ByTile,
+        attempts: &BTreeMap<u16, f64>,
+        work: &Work,
+        demand: &'a Demand,
+        given: &'a Given,
+    ) -> Loads<'a> {
+        let holders = to.holders();
+        let cut = cut(to, base);
+        let mut parts = vec![Range::default(); holders.len()];
+        let mut works = parts.clone();
+        let told =
+            rates.iter().all(|(class, all)| work.of(*class).is_some() || all.iter().all(|r| r.high == 0.0));
+        for (class, rates) in rates {
+            let (tries, each) = (attempts.get(class).copied().unwrap_or(1.0), work.of(*class).unwrap_or(0.0));
+            for (((part, work), rate), cut) in parts.iter_mut().zip(&mut works).zip(rates).zip(&cut) {
+                let sent = rate.times(tries);
+                *part = part.plus(sent);
+                let takes = cut.times(each);
+                let sum = Range {
+                    low: sent.low * takes.low,
+                    mid: sent.mid * takes.mid,
+                    high: sent.high * takes.high,
+                };
+                *work = work.plus(sum);
+            }
+        }
+        let (mut even, mut even_work) = (vec![Range::default(); to.servers().len()], Vec::new());
+        even_work.clone_from(&even);
+        let mut draws = Draws::default();
+        for ((holders, part), work) in holders.iter().zip(&parts).zip(&works) {
+            draws.add(holders, part.mid);
+            let each = 1.0 / holders.len().max(1) as f64;
+            for h in holders {
+                if let Some((even, even_work)) = even.get_mut(*h as usize).zip(even_work.get_mut(*h as usize))
+                {
+                    *even = even.plus(part.times(each));
+                    *even_work = even_work.plus(work.times(each));
+                }
+            }
+        }
+        let in_room = |room: u8| given.coordinators.values().filter(|z| z.0 == room).count() as f64;
+        let all = given.coordinators.len().max(1) as f64;
+        let capacity =
+            |(s, (even, work)): (&crate::foresight::Server, (&Range, &Range))| match told && work.mid > 0.0 {
+                true => s.capacity * even.mid / work.mid,
+                false => f64::INFINITY,
+            };
+        let on = On {
+            capacity: to.servers().iter().zip(even.iter().zip(&even_work)).map(capacity).collect(),
+            home: to.servers().iter().map(|s| (s.room.0, in_room(s.room.0) / all)).collect(),
+            deciders: match given.queues_told {
+                true => 1,
+                false => u32::try_from(given.coordinators.len()).unwrap_or(u32::MAX),
+            },
+        };
+        let loads = draws.settle(&on, 1.0);
+        Loads { to, demand, given, holders, parts, on, draws, loads, even_work, even, told }
+    }
+
+    pub fn servers(&self, old: &Loads<'_>) -> Vec<ServerLoad> {
+        let all: f64 = self.loads.iter().map(|l| l.rate).sum();
+        let each = self.to.servers().iter().zip(&self.loads).zip(self.even.iter().zip(&self.even_work));
+        each.map(|((s, load), (even, work))| {
+            let scale = load.rate / even.mid.max(f64::MIN_POSITIVE);
+            let before = old.to.server(s.id).and_then(|n| old.loads.get(n)).map_or(0.0, |l| l.rate);
+            ServerLoad {
+                server: s.id.0,
+                room: s.room.0,
+                parts_s: even.times(scale).give(MODEL),
+                share: load.rate / all.max(f64::MIN_POSITIVE),
+                busy: self.told.then(|| work.times(scale / s.capacity).give(MODEL)),
+                before,
+            }
+        })
+        .collect()
+    }
+
+    /// Attempts a second over all servers.
+    pub fn sum(&self) -> f64 {
+        self.loads.iter().map(|l| l.rate).sum()
+    }
+
+    /// A room's range is that of its servers together, without the model's: what one of them gets less of, its
+    /// neighbours get.
+    pub fn rooms(&self, servers: &[ServerLoad]) -> Vec<RoomLoad> {
+        let mut out: BTreeMap<u8, RoomLoad> = BTreeMap::new();
+        for s in servers {
+            let none = RoomLoad { room: s.room, servers: 0, parts_s: Range::default() };
+            let room = out.entry(s.room).or_insert(none);
+            room.servers += 1;
+            room.parts_s = room.parts_s.plus(s.parts_s);
+        }
+        out.into_values().collect()
+    }
+
+    /// Seconds of a part in its server's queue and at work, over all servers. The ends have all loads at the ends of
+    /// the sum's range.
+    pub fn response(&self) -> Range {
+        let sum = self.parts.iter().fold(Range::default(), |sum, p| sum.plus(*p));
+        let takes = |loads: &[Load]| {
+            let rate: f64 = loads.iter().map(|l| l.rate).sum();
+            loads.iter().map(|l| l.there).sum::<f64>() / rate.max(f64::MIN_POSITIVE)
+        };
+        let at = |end: f64| takes(&self.draws.settle(&self.on, end / sum.mid.max(f64::MIN_POSITIVE)));
+        let mid = takes(&self.loads);
+        Range { low: at(sum.low).min(mid), mid, high: at(sum.high).max(mid) }
+    }
+
+    /// Each coordinator's load, and the share of attempts that go to another room than its own. `mid` takes the holders
+    /// of a district's tiles as drawn evenly; `low` has each part in its own room where one of its holders is, `high`
+    /// in another one.
+    pub fn coordinators(
+        &self,
+        districts: &Districts,
+        attempts: &BTreeMap<u16, f64>,
+    ) -> (Vec<CoordinatorLoad>, Range) {
+        let words = self.to.servers().len().div_ceil(64);
+        let mut reach: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
+        let mut rooms: BTreeMap<u32, BTreeMap<u8, Range>> = BTreeMap::new();
+        for district in self.demand.rows.keys().map(|(_, d)| *d).collect::<BTreeSet<_>>() {
+            let (mut set, tiles) = (vec![0u64; words], districts.tiles(district));
+            let here = rooms.entry(district).or_default();
+            for holders in tiles.iter().filter_map(|n| self.holders.get(*n)) {
+                let mut counts = BTreeMap::<u8, usize>::new();
+                for h in holders {
+                    if let Some(word) = set.get_mut(*h as usize / 64) {
+                        *word |= 1 << (h % 64);
+                    }
+                    *counts.entry(self.on.home.get(*h as usize).map_or(0, |h| h.0)).or_default() += 1;
+                }
+                for (room, n) in counts {
+                    let only = if n == holders.len() { 1.0 } else { 0.0 };
+                    let share = Range { low: only, mid: n as f64 / holders.len() as f64, high: 1.0 };
+                    let sum = here.entry(room).or_default();
+                    *sum = sum.plus(share.times(1.0 / tiles.len().max(1) as f64));
+                }
+            }
+            reach.insert(district, set);
+        }
+        let (mut out, mut all, mut away) = (Vec::new(), 0.0, Range::default());
+        for (name, rows) in &self.demand.members {
+            let (mut queries, mut parts) = (Range::default(), Range::default());
+            let (mut set, mut sent) = (vec![0u64; words], 0.0);
+            for ((class, district), row) in rows {
+                queries = queries.plus(rate(Range::exact(row.queries as f64), self.demand, *district));
+                let before = self.demand.rows.get(&(*class, *district)).map_or(0, |r| r.parts);
+                let share = row.parts as f64 / before.max(1) as f64;
+                let tries = attempts.get(class).copied().unwrap_or(1.0);
+                let whole = row.whole as f64 * districts.tiles(*district).len() as f64;
+                let count = (share * before as f64 + whole) * tries;
+                sent += count;
+                let per_s = rate(Range::exact(count), self.demand, *district);
+                parts = parts.plus(per_s);
+                let d = reach.get(district).map_or(&[][..], |d| d);
+                set.iter_mut().zip(d).for_each(|(a, b)| *a |= b);
+                if let Some(room) = self.given.coordinators.get(name) {
+                    let own = rooms.get(district).and_then(|r| r.get(&room.0)).copied().unwrap_or_default();
+                    let out = Range { low: 1.0 - own.high, mid: 1.0 - own.mid, high: 1.0 - own.low };
+                    away = away.plus(out.times(count));
+                    all += count;
+                }
+            }
+            let reached = f64::from(set.iter().map(|w| w.count_ones()).sum::<u32>());
+            let each = self.given.connections.max(1) as f64;
+            let connections = Range { low: reached.min(sent), mid: reached.min(sent), high: reached * each };
+            out.push(CoordinatorLoad {
+                name: name.to_string(),
+                queries_s: queries,
+                parts_s: parts,
+                connections,
+            });
+        }
+        (out, away.times(1.0 / f64::max(all, 1.0)))
+    }
+}
--- /dev/null
+++ b/src/foresight/forecast/mod.rs
@@ -0,0 +1,259 @@
+//! The forecast: a demand played on a proposed topology. Every figure is a [`Range`]; what can't be known is listed.
+mod asked;
+mod change;
+mod draw;
+mod fanout;
+mod load;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::rc::Rc;
+
+use serde::Serialize;
+
+pub use change::{Change, Cold};
+pub use draw::{Draws, Load, On};
+pub use fanout::{FanOut, Spread};
+pub use load::{CoordinatorLoad, RoomLoad, Seen, ServerLoad};
+
+use super::{Coverage, Demand, Range, Topology};
+use crate::interface::{Class, ColdRule, ReplicaId, ZoneId};
+
+/// Unknowns of one kind that are named one by one.
+pub const MOST_NAMED: usize = 1024;
+
+/// What the mean field may be off by for one server: simulated fleets stay within it (`tests/foresight.rs`).
+pub const MODEL: f64 = 0.05;
+
+/// What a forecast goes by beside demand and topologies.
+#[derive(Clone, Debug)]
+pub struct Given {
+    pub classes: Vec<Class>,
+    pub cold: Option<ColdRule>,
+    /// Servers of the base that are cold now; those that the base does not have are cold in any case.
+    pub cold_now: BTreeSet<ReplicaId>,
+    /// Coordinators and their rooms.
+    pub coordinators: BTreeMap<Rc<str>, ZoneId>,
+    /// Connections of a coordinator to one server at most.
+    pub connections: usize,
+    /// Whether servers report their queue; else each coordinator sees what it has out there itself.
+    pub queues_told: bool,
+}
+
+/// What the demand and the topologies don't say.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "what")]
+pub enum Unknown {
+    /// No server told its work on a part of this class: loads are even splits, and no share of time is said.
+    Work { class: u16 },
+    /// Nothing was sent for this class yet: one attempt a part is taken.
+    Attempts { class: u16 },
+    /// No answer of this class was seen: no lateness is said.
+    Lateness { class: u16 },
+    /// Asked for, and without a successor: its queries are left out.
+    Retired { tile: u32 },
+    /// A district that is no more: queries for it are taken to ask for what became of its tiles.
+    DistrictGone { district: u32 },
+    /// What part of a part's work goes with its tile's weight: between none and all.
+    WorkOfCutTiles,
+    /// One window alone: how demand swings is not known.
+    Swing,
+    /// Servers that hold new tiles and were warm: what their caches lack of them.
+    WarmServersNewTiles { servers: usize },
+    /// Queries that no row holds, in 10,000.
+    Unplaced { share: u64 },
+    /// Servers that get more than they can do: their queues have no mean.
+    Overloaded { servers: usize },
+    /// A class that the settings don't have.
+    Class { class: u16 },
+}
+
+/// Answers of one class.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Lateness {
+    pub class: u16,
+    /// Time of an answer over that of one now.
+    pub ratio: Range,
+    /// Share after its aim, as seen and as expected.
+    pub before: f64,
+    pub late: Range,
+}
+
+/// What the topology would come to.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Forecast {
+    /// Version that it changes.
+    pub base: u64,
+    pub coverage: Coverage,
+    pub fan_out: Vec<FanOut>,
+    pub servers: Vec<ServerLoad>,
+    /// Attempts a second on the base, over all its servers.
+    pub before: f64,
+    pub rooms: Vec<RoomLoad>,
+    pub coordinators: Vec<CoordinatorLoad>,
+    /// Share of parts that go to another room than their coordinator's.
+    pub across: Range,
+    pub change: Change,
+    pub lateness: Vec<Lateness>,
+    pub unknowns: Vec<Unknown>,
+}
+
+/// Why there is no forecast.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForecastError {
+    NoTiles,
+    NoServers,
+    NoDemand,
+}
+
+impl fmt::Display for ForecastError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ForecastError::NoTiles => "a topology without tiles",
+            ForecastError::NoServers => "a topology without servers",
+            ForecastError::NoDemand => "no demand was seen",
+        })
+    }
+}
+
+impl std::error::Error for ForecastError {}
+
+/// How many times a part's mean time a query takes: the module's own rule (`src/balance.rs`: `wide`, `QUERY_STRETCH`,
+/// `STEPS_STRETCH`). Stands in for the module's own function, which is to take its place here and nowhere else.
+fn stretch(parts: f64, steps: u32) -> f64 {
+    let wide = 1.0 + 0.45 * (parts.max(24.0) / 24.0).ln();
+    2.0 * wide * if steps > 1 { 1.5 } else { 1.0 }
+}
+
+/// What `to` would cost under this demand, which was seen on `base`.
+pub fn forecast(
+    demand: &Demand,
+    base: &Topology,
+    to: &Topology,
+    given: &Given,
+) -> Result<Forecast, ForecastError> {
+    if base.tiles().is_empty() || to.tiles().is_empty() {
+        return Err(ForecastError::NoTiles);
+    }
+    if base.servers().is_empty() || to.servers().is_empty() {
+        return Err(ForecastError::NoServers);
+    }
+    if demand.rows.values().all(|r| r.queries == 0) {
+        return Err(ForecastError::NoDemand);
+    }
+    let mut unknowns = Vec::new();
+    let same = base.successors(base);
+    let successors = to.successors(base);
+    let districts = asked::Districts::new(base, to, &successors);
+    let base_districts = asked::Districts::new(base, base, &same);
+    let attempts = attempts(demand, &base_districts, &mut unknowns);
+    let rates = asked::rates(demand, base, to, &successors, &districts, &mut unknowns);
+    let was = asked::rates(demand, base, base, &same, &base_districts, &mut Vec::new());
+    let work = load::Work::new(demand, &mut unknowns);
+    let new = load::Loads::new(to, base, &rates, &attempts, &work, demand, given);
+    let old = load::Loads::new(base, base, &was, &attempts, &work, demand, given);
+    let fan_out = fanout::fan_out(demand, base, to, &successors, &districts, &attempts);
+    let lateness = lateness(demand, given, &fan_out, &new, &old, &mut unknowns);
+    let (coordinators, across) = new.coordinators(&districts, &attempts);
+    let servers = new.servers(&old);
+    let change = change::change(base, to, given, &servers);
+    unknowns.extend(districts.gone().take(MOST_NAMED).map(|d| Unknown::DistrictGone { district: *d }));
+    if to.tiles().iter().any(|t| !t.from.is_empty()) {
+        unknowns.push(Unknown::WorkOfCutTiles);
+    }
+    if demand.coverage.windows.0 == demand.coverage.windows.1 {
+        unknowns.push(Unknown::Swing);
+    }
+    if change.warm_with_new_tiles > 0 {
+        unknowns.push(Unknown::WarmServersNewTiles { servers: change.warm_with_new_tiles });
+    }
+    if demand.coverage.unplaced > 0.0 {
+        unknowns.push(Unknown::Unplaced { share: (demand.coverage.unplaced * 10_000.0).ceil() as u64 });
+    }
+    let over = servers.iter().filter(|s| s.busy.is_some_and(|b| b.mid >= 1.0)).count();
+    if over > 0 {
+        unknowns.push(Unknown::Overloaded { servers: over });
+    }
+    let coverage = demand.coverage.clone();
+    let rooms = new.rooms(&servers);
+    Ok(Forecast {
+        base: base.version(),
+        coverage,
+        fan_out,
+        servers,
+        before: old.sum(),
+        rooms,
+        coordinators,
+        across,
+        change,
+        lateness,
+        unknowns,
+    })
+}
+
+/// Attempts a part, of all that were sent for a class over the parts that it asked for. Parts of a second step, which
+/// no query names when it comes in, count in it too.
+fn attempts(
+    demand: &Demand,
+    districts: &asked::Districts,
+    unknowns: &mut Vec<Unknown>,
+) -> BTreeMap<u16, f64> {
+    let mut parts: BTreeMap<u16, f64> = BTreeMap::new();
+    for ((class, district), row) in &demand.rows {
+        let whole = row.whole as f64 * districts.tiles(*district).len() as f64;
+        *parts.entry(*class).or_default() += row.parts as f64 + whole;
+    }
+    for (class, parts) in &mut parts {
+        let sent = demand.classes.get(class).map_or(0, |c| c.first + c.again + c.copies);
+        if sent == 0 {
+            unknowns.push(Unknown::Attempts { class: *class });
+        }
+        *parts = if sent == 0 || *parts == 0.0 { 1.0 } else { sent as f64 / *parts };
+    }
+    parts
+}
+
+/// The answers that were seen, each longer or shorter by the module's rule on a query's stretch times what parts take.
+/// Of a part's time, what was seen over the mean field's queueing on the base is taken to stay as it is. `low` and
+/// `high` have the loads of the ranges' ends.
+fn lateness(
+    demand: &Demand,
+    given: &Given,
+    fan_out: &[FanOut],
+    new: &load::Loads<'_>,
+    old: &load::Loads<'_>,
+    unknowns: &mut Vec<Unknown>,
+) -> Vec<Lateness> {
+    let (waits, waited) = (new.response(), old.response().mid);
+    let mut out = Vec::new();
+    for (class, seen) in &demand.classes {
+        let Some(told) = given.classes.get(usize::from(*class)) else {
+            unknowns.push(Unknown::Class { class: *class });
+            continue;
+        };
+        if seen.answers.count() == 0 || seen.took.count() == 0 || seen.worked == 0 {
+            unknowns.push(Unknown::Lateness { class: *class });
+            continue;
+        }
+        let took = seen.took.mean() * 1e-6;
+        let steps = if told.second_step > 0 { 2 } else { 1 };
+        let (mut now, mut then, mut all) = (0.0, 0.0, 0.0);
+        for f in fan_out.iter().filter(|f| f.class == *class) {
+            now += f.queries_s.mid * stretch(f.parts_before, steps);
+            then += f.queries_s.mid * stretch(f.mean_parts.mid, steps);
+            all += f.queries_s.mid;
+        }
+        let wider = if all > 0.0 { then / now } else { 1.0 };
+        let part = |wait: f64| (took - waited).max(0.0) + wait;
+        let ratio = |wait: f64| wider * part(wait) / part(waited).max(f64::MIN_POSITIVE);
+        let ratio = Range { low: ratio(waits.low), mid: ratio(waits.mid), high: ratio(waits.high) };
+        let late = |ratio: f64| seen.answers.over(told.aim * 1e6 / ratio.max(1e-3));
+        out.push(Lateness {
+            class: *class,
+            ratio,
+            before: late(1.0),
+            late: Range { low: late(ratio.low), mid: late(ratio.mid), high: late(ratio.high) },
+        });
+    }
+    out
+}
--- /dev/null
+++ b/src/foresight/shown.rs
@@ -0,0 +1,42 @@
+//! A forecast as the operators read it: a JSON document, and one line for the log.
+use serde::Serialize;
+
+use super::forecast::Forecast;
+use super::plan::{Said, Why};
+
+/// The result of a plan.
+#[derive(Serialize)]
+pub struct Result<'a> {
+    pub plan: &'a str,
+    /// Why it was refused; empty for one that may be adopted.
+    pub refused: Option<Why>,
+    pub forecast: &'a Forecast,
+}
+
+/// The document. Fails for no value of ours: numbers that are none become `null`.
+pub fn json(plan: &str, refused: Option<Why>, forecast: &Forecast) -> serde_json::Result<String> {
+    serde_json::to_string_pretty(&Result { plan, refused, forecast })
+}
+
+/// One line, without its end.
+pub fn line(plan: &str, refused: Option<Why>, forecast: &Forecast) -> String {
+    let said = Said::of(forecast, 0);
+    let coverage = &forecast.coverage;
+    let verdict = refused.map_or("may be adopted".to_owned(), |why| format!("refused, {why}"));
+    format!(
+        "plan {plan} on version {}: {verdict}; share {:.3}, members {}, missing {}, age {} ms, grown {:.2}, \
+         busiest {:.2}, late {:.3}, across {:.3}, loads {}, cold that may fall {}, unknowns {}",
+        forecast.base,
+        coverage.share.mid,
+        coverage.members.len(),
+        coverage.missing.len(),
+        coverage.age_ms,
+        said.grown,
+        said.busiest,
+        said.late,
+        forecast.across.mid,
+        forecast.change.loads,
+        said.falls,
+        forecast.unknowns.len(),
+    )
+}
--- /dev/null
+++ b/src/foresight/sketch.rs
@@ -0,0 +1,193 @@
+//! Bounded counts: heavy hitters, distinct clients and times. Each states its error.
+use std::collections::{BTreeMap, BTreeSet};
+
+use hdrhistogram::Histogram;
+
+/// Heavy hitters by space-saving (Metwally, Agrawal, El Abbadi 2005). At most `most` keys are kept.
+///
+/// Invariant: the counts add up to all that was added; a key's true count lies in `count - error ..= count`; one that
+/// is not kept was added at most [`Heavy::least`] times, which is at most all over `most`.
+#[derive(Clone, Debug)]
+pub struct Heavy<K> {
+    most: usize,
+    kept: BTreeMap<K, (u64, u64)>,
+    order: BTreeSet<(u64, K)>,
+}
+
+impl<K: Ord + Clone> Heavy<K> {
+    pub fn new(most: usize) -> Heavy<K> {
+        Heavy { most: most.max(1), kept: BTreeMap::new(), order: BTreeSet::new() }
+    }
+
+    pub fn add(&mut self, key: K) {
+        let (count, error) = match self.kept.get(&key) {
+            Some((count, error)) => {
+                self.order.remove(&(*count, key.clone()));
+                (*count, *error)
+            }
+            None if self.kept.len() < self.most => (0, 0),
+            None => match self.order.pop_first() {
+                Some((least, out)) => {
+                    self.kept.remove(&out);
+                    (least, least)
+                }
+                None => (0, 0),
+            },
+        };
+        self.order.insert((count.saturating_add(1), key.clone()));
+        self.kept.insert(key, (count.saturating_add(1), error));
+    }
+
+    /// Most that a key which is not kept can have been added.
+    pub fn least(&self) -> u64 {
+        let full = self.kept.len() >= self.most;
+        self.order.first().filter(|_| full).map_or(0, |(count, _)| *count)
+    }
+
+    /// Key, count and error, in the order of the keys.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, u64, u64)> {
+        self.kept.iter().map(|(k, (count, error))| (k, *count, *error))
+    }
+}
+
+/// Registers of a [`Distinct`]: 1.04 / sqrt(256) is a standard error of 6.5 in 100.
+pub const REGISTERS: usize = 256;
+pub const DISTINCT_ERROR: f64 = 0.065;
+
+/// How many different ones there were, by HyperLogLog (Flajolet et al. 2007). Own, and not the crate `hyperloglogplus`:
+/// its registers cannot be read, and what its serde form accepts may panic later, so that it can't be sent to others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Distinct(Vec<u8>);
+
+impl Default for Distinct {
+    fn default() -> Self {
+        Distinct(vec![0; REGISTERS])
+    }
+}
+
+impl Distinct {
+    /// `hash` is any number that stands for one client alone.
+    pub fn add(&mut self, hash: u64) {
+        // The finisher of SplitMix64: numbers that were never hashed would else fill one register.
+        let mut z = hash.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^= z >> 31;
+        let rank = ((z >> 8) | 1 << 56).trailing_zeros() as u8 + 1;
+        if let Some(register) = self.0.get_mut((z & 0xff) as usize) {
+            *register = rank.max(*register);
+        }
+    }
+
+    pub fn merge(&mut self, other: &Distinct) {
+        self.0.iter_mut().zip(&other.0).for_each(|(a, b)| *a = (*a).max(*b));
+    }
+
+    pub fn estimate(&self) -> f64 {
+        let n = REGISTERS as f64;
+        let raw =
+            0.7213 / (1.0 + 1.079 / n) * n * n / self.0.iter().map(|r| 0.5f64.powi((*r).into())).sum::<f64>();
+        let empty = self.0.iter().filter(|r| **r == 0).count();
+        if raw <= 2.5 * n && empty > 0 {
+            n * (n / empty as f64).ln()
+        } else {
+            raw
+        }
+    }
+
+    /// Registers that are set: place and value.
+    pub fn set(&self) -> impl Iterator<Item = (u8, u8)> + '_ {
+        (0..=255).zip(self.0.iter().copied()).filter(|(_, v)| *v > 0)
+    }
+
+    /// `None` for a value that no hash gives.
+    pub fn from_set(set: impl Iterator<Item = (u8, u8)>) -> Option<Distinct> {
+        let mut all = Distinct::default();
+        for (at, value) in set {
+            *all.0.get_mut(usize::from(at)).filter(|_| (1..=57).contains(&value))? = value;
+        }
+        Some(all)
+    }
+}
+
+/// Times over this count as this: no attempt lives as long.
+pub const LONGEST_US: u64 = 600_000_000;
+
+/// Times in microseconds, within 1 in 100 of their value. At most 3,100 buckets, by [`LONGEST_US`].
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Times(Option<Histogram<u64>>);
+
+impl Times {
+    pub fn add(&mut self, us: u64, n: u64) {
+        if self.0.is_none() {
+            // Two digits are a number that it takes: it fails for more than five alone.
+            self.0 = Histogram::new(2).ok();
+        }
+        if let Some(all) = &mut self.0 {
+            // It grows by itself, and the value is bounded.
+            let _ = all.record_n(us.clamp(1, LONGEST_US), n);
+        }
+    }
+
+    pub fn count(&self) -> u64 {
+        self.0.as_ref().map_or(0, |h| h.len())
+    }
+
+    pub fn mean(&self) -> f64 {
+        self.0.as_ref().map_or(0.0, |h| h.mean())
+    }
+
+    /// The time that a share `q` of them stays within.
+    pub fn quantile(&self, q: f64) -> u64 {
+        self.0.as_ref().map_or(0, |h| h.value_at_quantile(q))
+    }
+
+    /// Share of them over `us`.
+    pub fn over(&self, us: f64) -> f64 {
+        let at = (us.max(0.0) as u64).min(LONGEST_US);
+        let within = self.0.as_ref().map_or(0, |h| h.count_between(0, at));
+        1.0 - within as f64 / self.count().max(1) as f64
+    }
+
+    /// Each bucket that is not empty: its time and count.
+    pub fn buckets(&self) -> Vec<(u64, u64)> {
+        let all = self.0.iter().flat_map(|h| h.iter_recorded());
+        all.map(|v| (v.value_iterated_to(), v.count_at_value())).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn a_heavy_hitters_true_count_lies_within_its_error(keys in prop::collection::vec(0u32..40, 1..400)) {
+            let mut heavy = Heavy::new(8);
+            keys.iter().for_each(|k| heavy.add(*k));
+            let truth = |key: u32| keys.iter().filter(|k| **k == key).count() as u64;
+            prop_assert_eq!(heavy.iter().map(|(_, n, _)| n).sum::<u64>(), keys.len() as u64);
+            prop_assert!(heavy.iter().count() <= 8 && heavy.least() <= keys.len() as u64 / 8);
+            for key in 0..40 {
+                match heavy.iter().find(|(k, ..)| **k == key) {
+                    Some((_, n, e)) => prop_assert!((n - e..=n).contains(&truth(key))),
+                    None => prop_assert!(truth(key) <= heavy.least()),
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn distinct_clients_are_counted_within_three_errors_and_once() {
+        for n in [1u64, 10, 100, 1000, 100_000] {
+            let (mut a, mut b) = (Distinct::default(), Distinct::default());
+            (0..n).for_each(|c| a.add(c));
+            (0..n).filter(|c| c % 2 == 0).for_each(|c| b.add(c));
+            b.merge(&a);
+            assert_eq!(a, b, "those of b were known");
+            assert!((a.estimate() / n as f64 - 1.0).abs() < 3.0 * DISTINCT_ERROR, "{n}: {}", a.estimate());
+            assert_eq!(Distinct::from_set(a.set()), Some(a));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod core;
 pub mod fleet;
+pub mod foresight;
 pub mod interface;
 pub mod net;
 pub mod operator;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -10,7 +10,7 @@
 
 use serde::Deserialize;
 
-pub use self::locate::{locate, Seg};
+pub use self::locate::{locate, shown, Seg};
 use crate::pool;
 use crate::routes::{self, Routes};
 use crate::settings::{self, Deployment};
@@ -176,7 +176,7 @@
     pub fn parse(text: &str, path: &Path) -> Result<Operator, OperatorError> {
         let at = |segments: &[Seg], what: String| OperatorError {
             file: path.into(),
-            path: locate::shown(segments),
+            path: shown(segments),
             place: locate(text, segments),
             what,
         };
