Play forecast topologies in a simulated fleet; test plans, merges and files of plans

Properties of the merge, plans under reordered and doubled commands, files with holes and overlaps, and a simulated fleet on a virtual clock.

--- a/src/foresight/forecast/load.rs
+++ b/src/foresight/forecast/load.rs
@@ -244,6 +244,12 @@
         Range { low: at(sum.low).min(mid), mid, high: at(sum.high).max(mid) }
     }
 
+    /// The same at the server where it is longest.
+    pub fn longest(&self) -> f64 {
+        let takes = self.loads.iter().filter(|l| l.rate > 0.0).map(|l| l.there / l.rate);
+        takes.fold(0.0, f64::max)
+    }
+
     /// Each coordinator's load, and the share of attempts that go to another room than its own. `mid` takes the holders
     /// of a district's tiles as drawn evenly; `low` has each part in its own room where one of its holders is, `high`
     /// in another one.
--- a/src/foresight/forecast/mod.rs
+++ b/src/foresight/forecast/mod.rs
@@ -215,7 +215,8 @@
 
 /// The answers that were seen, each longer or shorter by the module's rule on a query's stretch times what parts take.
 /// Of a part's time, what was seen over the mean field's queueing on the base is taken to stay as it is. `low` and
-/// `high` have the loads of the ranges' ends.
+/// `high` have the loads of the ranges' ends; `high` is no less than what the slowest server grows by, since the slowest
+/// part makes a query's time.
 fn lateness(
     demand: &Demand,
     given: &Given,
@@ -224,7 +225,8 @@
     old: &load::Loads<'_>,
     unknowns: &mut Vec<Unknown>,
 ) -> Vec<Lateness> {
-    let (waits, waited) = (new.response(), old.response().mid);
+    let (mut waits, waited) = (new.response(), old.response().mid);
+    waits.high = waits.high.max(waited * new.longest() / old.longest().max(f64::MIN_POSITIVE));
     let mut out = Vec::new();
     for (class, seen) in &demand.classes {
         let Some(told) = given.classes.get(usize::from(*class)) else {
--- /dev/null
+++ b/tests/foresight/fleet.rs
@@ -0,0 +1,255 @@
+//! A simulated fleet on a virtual clock: queries are drawn, and played on a topology. Each part draws a random ordered
+//! pair of its tile's holders and goes to the
+//! shorter queue, or to its coordinator's own room.
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use marlgap::fleet::MemberId;
+use marlgap::foresight::forecast::Given;
+use marlgap::foresight::{Asked, Asks, Demand, Gathered, Keeper, Limits, Sent, Server, Tile, Topology};
+use marlgap::interface::{Class, ColdRule, Effect, ReplicaId, ZoneId};
+use num_rational::Ratio;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub const WINDOW_MS: u64 = 60_000;
+pub const START_MS: u64 = 1_800_000_000_000;
+
+pub struct Chance(Pcg64Mcg);
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        Chance(Pcg64Mcg::seed_from_u64(seed))
+    }
+    pub fn unit(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+    pub fn below(&mut self, n: usize) -> usize {
+        (self.unit() * n as f64) as usize
+    }
+    fn exp(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.unit()).ln()
+    }
+    /// Small numbers far more often than great ones.
+    fn skewed(&mut self, n: usize) -> usize {
+        (n as f64 * self.unit().powi(2)) as usize
+    }
+}
+
+pub struct Query {
+    at: f64,
+    by: usize,
+    district: u32,
+    /// `None` for the whole district.
+    tiles: Option<Vec<u32>>,
+    client: u64,
+}
+
+pub struct Shape {
+    pub servers: u64,
+    pub tiles: u32,
+    pub districts: u32,
+    pub coordinators: usize,
+    pub rate: f64,
+    pub windows: u64,
+}
+
+pub const SHAPE: Shape =
+    Shape { servers: 30, tiles: 300, districts: 12, coordinators: 4, rate: 500.0, windows: 3 };
+
+pub fn names(shape: &Shape) -> Vec<Rc<str>> {
+    (0..shape.coordinators).map(|n| format!("c{n}").into()).collect()
+}
+
+pub fn given(shape: &Shape, queues_told: bool) -> Given {
+    let class = Class {
+        aim: 0.08,
+        deadline: 2.0,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect: Effect::Safe,
+        need: 1.0,
+        floor: 1.0,
+        partial: 1.0,
+        second_step: 0,
+        copies: false,
+    };
+    Given {
+        classes: vec![class],
+        cold: Some(ColdRule { from: 0.25, ramp: 10.0, multiple: 3.0, after: 2.0 }),
+        cold_now: Default::default(),
+        coordinators: { names(shape).into_iter().zip(0u8..) }.map(|(n, i)| (n, ZoneId(i % 3))).collect(),
+        connections: 4,
+        queues_told,
+    }
+}
+
+pub fn base(shape: &Shape, chance: &mut Chance) -> Topology {
+    let servers =
+        (0..shape.servers).map(|n| Server { id: ReplicaId(n), room: ZoneId((n % 3) as u8), capacity: 1.0 });
+    let tiles = (0..shape.tiles).map(|tile| Tile {
+        tile,
+        district: tile % shape.districts,
+        weight: Ratio::new(1, 3),
+        holders: some(shape.servers, chance),
+        from: Rc::default(),
+    });
+    Topology::new(7, servers.collect(), tiles.collect()).expect("a topology")
+}
+
+/// Three different servers.
+pub fn some(servers: u64, chance: &mut Chance) -> Rc<[ReplicaId]> {
+    let mut held = Vec::new();
+    while held.len() < 3 {
+        let id = ReplicaId(chance.below(servers as usize) as u64);
+        if !held.contains(&id) {
+            held.push(id);
+        }
+    }
+    held.into()
+}
+
+/// A plan that splits and merges tiles and moves others, with a new server.
+pub fn changed(base: &Topology, shape: &Shape, chance: &mut Chance) -> String {
+    let list = |held: Rc<[ReplicaId]>| held.iter().map(|r| r.0.to_string()).collect::<Vec<_>>().join(",");
+    let mut text = format!(
+        "{{ plan: 'p', base: 7, at_ms: {}, servers: [{{id: {}, room: 0}}], cuts: [",
+        START_MS + 86_400_000,
+        shape.servers
+    );
+    let mut next = 100_000;
+    for n in 0..20u32 {
+        let mut piece = |weight: &str| {
+            next += 1;
+            let holders = list(some(shape.servers + 1, chance));
+            format!(
+                "{{tile: {next}, district: {}, weight: '{weight}', holders: [{holders}]}},",
+                n % shape.districts
+            )
+        };
+        text += &format!("{{from: [{n}], to: [{}{}]}},", piece("1/9"), piece("2/9"));
+        let (a, b) = (24 + 2 * shape.districts * n / 2, 24 + 2 * shape.districts * n / 2 + shape.districts);
+        if n < 5 {
+            let (a, b) = (a + n * shape.districts, b + n * shape.districts);
+            text += &format!("{{from: [{a}, {b}], to: [{}]}},", piece("2/3"));
+        }
+    }
+    text += "], moves: [";
+    for n in 200..250u32 {
+        text += &format!("{{tile: {n}, holders: [{}]}},", list(some(shape.servers + 1, chance)));
+    }
+    assert!(base.tile(249).is_some());
+    text + "]}"
+}
+
+pub fn draw(shape: &Shape, base: &Topology, chance: &mut Chance) -> Vec<Query> {
+    let districts = base.districts();
+    // Sets that many ask for.
+    let sets: Vec<(u32, Vec<u32>)> = (0..40)
+        .map(|_| {
+            let d = chance.below(shape.districts as usize) as u32;
+            let all = &districts[&d];
+            let tiles =
+                (0..1 + chance.below(6)).map(|_| base.tiles()[all[chance.below(all.len())]].tile).collect();
+            (d, tiles)
+        })
+        .collect();
+    let mut out = Vec::new();
+    let mut at = 0.0;
+    while at < shape.windows as f64 * WINDOW_MS as f64 / 1000.0 {
+        let (district, tiles) = match chance.unit() {
+            u if u < 0.5 => {
+                let (d, set) = &sets[chance.skewed(sets.len())];
+                (*d, Some(set.clone()))
+            }
+            u if u < 0.98 => {
+                let d = chance.skewed(shape.districts as usize) as u32;
+                let all = &districts[&d];
+                let n = 1 + chance.below(4);
+                (d, Some((0..n).map(|_| base.tiles()[all[chance.skewed(all.len())]].tile).collect()))
+            }
+            _ => (chance.below(shape.districts as usize) as u32, None),
+        };
+        let (by, client) = (chance.below(shape.coordinators), chance.below(5000) as u64);
+        out.push(Query { at, by, district, tiles, client });
+        at += chance.exp(1.0 / shape.rate);
+    }
+    out
+}
+
+/// Play the queries on a topology that was made of `base`, and gather what the coordinators keep.
+pub fn play(
+    shape: &Shape,
+    queries: &[Query],
+    base: &Topology,
+    on: &Topology,
+    queues_told: bool,
+    limits: &Limits,
+    seed: u64,
+) -> Demand {
+    let mut chance = Chance::new(seed);
+    let successors = on.successors(base);
+    let (districts, holders) = (on.districts(), on.holders());
+    let names = names(shape);
+    let mut keepers: Vec<Keeper> =
+        names.iter().map(|n| Keeper::new(MemberId::new(n, 1), limits.clone())).collect();
+    // When each part there is done, and whose it is.
+    let mut queues: Vec<VecDeque<(f64, usize)>> = vec![VecDeque::new(); on.servers().len()];
+    let ms = |at: f64| START_MS + (at * 1000.0) as u64;
+    for q in queries {
+        let keeper = &mut keepers[q.by];
+        let asks = q.tiles.as_ref().map_or(Asks::Whole, |t| Asks::Tiles(t));
+        let client = Some(q.client);
+        keeper.asked(
+            ms(q.at),
+            &Asked { class: 0, district: q.district, asks, client, bytes: 200, again: false },
+        );
+        let mut tiles: Vec<usize> = match &q.tiles {
+            None => districts[&q.district].clone(),
+            Some(list) => {
+                let old = list.iter().filter_map(|t| base.index(*t));
+                old.flat_map(|n| &successors[n]).map(|n| *n as usize).collect()
+            }
+        };
+        tiles.sort_unstable();
+        tiles.dedup();
+        let mut over = q.at;
+        for n in tiles {
+            let held = &holders[n];
+            let first = chance.below(held.len());
+            let other = (first + 1 + chance.below(held.len() - 1)) % held.len();
+            let mut length = |h: u32| {
+                let queue = &mut queues[h as usize];
+                while queue.front().is_some_and(|(done, _)| *done <= q.at) {
+                    queue.pop_front();
+                }
+                queue.iter().filter(|(_, by)| queues_told || *by == q.by).count()
+            };
+            let (a, b) = (held[first], held[other]);
+            let (of_a, of_b) = (length(a), length(b));
+            let away = |h: u32| u8::from(on.servers()[h as usize].room.0 as usize != q.by % 3);
+            let server = if (of_a, away(a)) <= (of_b, away(b)) { a } else { b };
+            // A third of a part's work is there whatever its tile weighs.
+            let weight = *on.tiles()[n].weight.numer() as f64 / *on.tiles()[n].weight.denom() as f64;
+            let work = chance.exp(0.008 * (1.0 / 3.0 + 2.0 * weight));
+            let begins = queues[server as usize].back().map_or(q.at, |(done, _)| *done);
+            let done = begins + work;
+            queues[server as usize].push_back((done, q.by));
+            keeper.sent(ms(q.at), 0, on.servers()[server as usize].id, Sent::First);
+            keeper.served(ms(q.at), 0, ((done - q.at) * 1e6) as u64, Some((work * 1e6) as u64));
+            over = over.max(done);
+        }
+        keeper.answered(ms(q.at), 0, ((over - q.at) * 1e6) as u64, 1000);
+    }
+    let end = START_MS + shape.windows * WINDOW_MS;
+    let mut gathered = Gathered::new(4096, WINDOW_MS);
+    let mut seen: BTreeMap<u64, u64> = BTreeMap::new();
+    for keeper in &mut keepers {
+        for report in keeper.reports(end) {
+            *seen.entry(report.window).or_default() += 1;
+            gathered.insert(Rc::new(report));
+        }
+    }
+    assert_eq!(seen.len() as u64, shape.windows);
+    gathered.demand(&names, end, shape.windows).expect("a demand")
+}
--- /dev/null
+++ b/tests/foresight/merging.rs
@@ -0,0 +1,129 @@
+//! Reports gathered in any order, twice, over restarts, and as bytes.
+use std::rc::Rc;
+
+use marlgap::fleet::MemberId;
+use marlgap::foresight::{Asked, Asks, Gathered, Keeper, Limits, Report, Sent};
+use marlgap::interface::ReplicaId;
+use proptest::prelude::*;
+
+const WINDOW: u64 = 60_000;
+
+fn keep(keeper: &mut Keeper, ms: u64, tiles: &[u32], again: bool) {
+    let asks = Asks::Tiles(tiles);
+    keeper.asked(ms, &Asked { class: 1, district: 3, asks, client: Some(ms), bytes: 10, again });
+    keeper.sent(ms, 1, ReplicaId(u64::from(tiles[0])), if again { Sent::Again } else { Sent::First });
+    keeper.served(ms, 1, 900, Some(500));
+    keeper.answered(ms, 1, 2000, 50);
+}
+
+fn report(member: u64, life: u64, window: u64, queries: u32) -> Rc<Report> {
+    let limits = Limits { tiles: 4, sets: 4, ..Limits::default() };
+    let mut keeper = Keeper::new(MemberId::new(&format!("c{member}"), life), limits);
+    for n in 0..queries {
+        keep(&mut keeper, window * WINDOW + u64::from(n), &[n % 7, 9], false);
+    }
+    let all = keeper.reports((window + 1) * WINDOW);
+    Rc::new(all.into_iter().next().unwrap_or_else(|| {
+        keeper.asked(
+            window * WINDOW,
+            &Asked { class: 1, district: 3, asks: Asks::Whole, client: None, bytes: 1, again: false },
+        );
+        keeper.reports((window + 1) * WINDOW).remove(0)
+    }))
+}
+
+fn gathered(most: usize, all: &[Rc<Report>]) -> Gathered {
+    let mut out = Gathered::new(most, WINDOW);
+    all.iter().for_each(|r| drop(out.insert(r.clone())));
+    out
+}
+
+fn some() -> impl Strategy<Value = Vec<Rc<Report>>> {
+    let one = (0u64..3, 1u64..3, 0u64..3, 1u32..20).prop_map(|(m, l, w, q)| report(m, l, w, q));
+    prop::collection::vec(one, 0..12)
+}
+
+proptest! {
+    #[test]
+    fn merging_is_idempotent_commutative_and_associative(a in some(), b in some(), c in some(), most in 1usize..20) {
+        let of = |list: &[Rc<Report>]| gathered(most, list);
+        let merge = |a: &Gathered, b: &Gathered| { let mut a = a.clone(); a.merge(b); a };
+        let (a, b, c) = (of(&a), of(&b), of(&c));
+        prop_assert_eq!(merge(&a, &b), merge(&b, &a));
+        prop_assert_eq!(merge(&merge(&a, &b), &c), merge(&a, &merge(&b, &c)));
+        let ab = merge(&a, &b);
+        prop_assert_eq!(&merge(&ab, &b), &ab);
+        prop_assert_eq!(merge(&ab, &ab).demand(&[], 9 * WINDOW, 9), ab.demand(&[], 9 * WINDOW, 9));
+    }
+
+    #[test]
+    fn spoilt_bytes_are_refused_or_read_and_never_more(at in 0usize..400, to: u8, cut in 0usize..400) {
+        let bytes = report(1, 1, 5, 30).encode();
+        let mut spoilt = bytes.clone();
+        if let Some(b) = spoilt.get_mut(at) { *b = to; }
+        spoilt.truncate(bytes.len() - cut.min(bytes.len()));
+        if let Ok(read) = Report::decode(&spoilt) {
+            prop_assert_eq!(Report::decode(&read.encode()), Ok(read));
+        }
+        prop_assert_eq!(Report::decode(&bytes).map(Rc::new), Ok(report(1, 1, 5, 30)));
+    }
+}
+
+#[test]
+fn what_is_seen_twice_or_taken_over_counts_once_and_two_lives_count_both() {
+    let early = report(1, 1, 5, 10);
+    let all = [early.clone(), report(1, 1, 5, 25), early.clone(), report(1, 2, 5, 4), report(2, 1, 5, 3)];
+    let demand = gathered(100, &all).demand(&["c1".into(), "c2".into()], 6 * WINDOW, 1).expect("a demand");
+    assert_eq!(demand.rows[&(1, 3)].queries, 25 + 4 + 3);
+    assert_eq!(demand.classes[&1].took.count(), 32);
+    let mut keeper = Keeper::new(MemberId::new("c9", 1), Limits::default());
+    keep(&mut keeper, 1, &[4], true);
+    let taken_over = keeper.reports(WINDOW).remove(0);
+    assert!(
+        taken_over.rows.is_empty() && taken_over.servers[&4] == 1,
+        "its attempts count, its query does not"
+    );
+}
+
+#[test]
+fn a_demand_says_whom_it_rests_on_what_share_that_is_and_how_old() {
+    let all = [report(1, 1, 5, 60), report(1, 1, 6, 60), report(2, 1, 5, 20)];
+    let names: Vec<Rc<str>> = ["c1", "c2", "c3"].map(Rc::from).into();
+    let demand = gathered(100, &all).demand(&names, 7 * WINDOW + 500, 2).expect("a demand");
+    let c = &demand.coverage;
+    assert_eq!((&c.members[..], &c.missing[..]), (&["c1".to_string()][..], &["c2".into(), "c3".into()][..]));
+    assert_eq!((c.age_ms, c.windows), (500, (5, 6)));
+    // c2 lacks a window like its other, c3 two of the mean.
+    let mean = 140.0 / 3.0;
+    assert!((c.share.mid - 140.0 / (140.0 + 20.0 + 2.0 * mean)).abs() < 1e-9 && c.share.high == 1.0);
+    assert!((c.share.low - 140.0 / (140.0 + 3.0 * 60.0)).abs() < 1e-9);
+}
+
+#[test]
+fn tables_are_bounded_and_a_full_report_fits() {
+    let mut keeper = Keeper::new(MemberId::new("c", 1), Limits::default());
+    for n in 0..200_000u32 {
+        let tiles: Vec<u32> = (0..8).map(|i| n.wrapping_mul(2_654_435_761) % 100_000 + i).collect();
+        let (class, district) = ((n % 80) as u16, n % 5000);
+        let asked = Asked {
+            class,
+            district,
+            asks: Asks::Tiles(&tiles),
+            client: Some(n.into()),
+            bytes: 1,
+            again: false,
+        };
+        keeper.asked(0, &asked);
+        keeper.sent(0, class, ReplicaId(u64::from(n % 9000)), Sent::First);
+        keeper.served(0, class, u64::from(n) * 37, None);
+        keeper.answered(0, class, u64::from(n) * 41, 1);
+    }
+    let report = keeper.reports(WINDOW).remove(0);
+    let (rows, servers) = (report.rows.len(), report.servers.len());
+    assert_eq!((report.classes.len(), rows, report.tiles.len(), report.sets.len()), (64, 1024, 4096, 512));
+    assert_eq!((report.clients.len(), servers), (256, 4096));
+    let bytes = report.encode();
+    println!("{} bytes", bytes.len());
+    assert!(bytes.len() < 1 << 20);
+    assert_eq!(Report::decode(&bytes), Ok(report));
+}
