Refuse reports from the future; forecasts use the module's own stretch of a query

Gathered keeps the greatest windows: a member whose clock ran off could fill it with windows that nobody reaches, and so drive out all other reports for good. insert and merge are given the present time and refuse what is more than one window ahead, and windows of another length, with a typed error; nothing changes then.

forecast had its own copy of the rule on a query's stretch. balance::stretch, beside wide and with the module's constants, takes its place; for a mean number of parts the forecast goes between the whole numbers beside it.

--- a/benches/foresight.rs
+++ b/benches/foresight.rs
@@ -98,11 +98,10 @@
             let begun = Instant::now();
             let mut halves = [Gathered::new(4096, WINDOW), Gathered::new(4096, WINDOW)];
             for (n, r) in decoded.iter().enumerate() {
-                halves[n % 2].insert(r.clone());
+                halves[n % 2].insert(r.clone(), WINDOW).expect("of now");
             }
             let [mut all, other] = halves;
-            all.merge(&other);
-            all.merge(&other);
+            assert_eq!(all.merge(&other, WINDOW) + all.merge(&other, WINDOW), 0);
             let merge = begun.elapsed().as_secs_f64() * 1e3;
             let names: Vec<Rc<str>> = (0..members).map(|m| Rc::from(format!("c{m}"))).collect();
             let begun = Instant::now();
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -15,6 +15,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+pub use self::pace::stretch;
 use self::{blame::EJECT, members::RENEW, pace::wide};
 use crate::interface::*;
 use crate::state::*;
--- a/src/balance/pace.rs
+++ b/src/balance/pace.rs
@@ -59,3 +59,8 @@
 pub(super) fn wide(parts: usize) -> f64 {
     1.0 + WIDER * (parts.max(WIDE) as f64 / WIDE as f64).ln()
 }
+
+/// How many times the mean part's time a query of so many parts and steps takes.
+pub fn stretch(parts: usize, steps: u32) -> f64 {
+    wide(parts) * QUERY_STRETCH * if steps > 1 { STEPS_STRETCH } else { 1.0 }
+}
--- a/src/foresight/forecast/mod.rs
+++ b/src/foresight/forecast/mod.rs
@@ -18,6 +18,7 @@
 pub use load::{CoordinatorLoad, RoomLoad, Seen, ServerLoad};
 
 use super::{Coverage, Demand, Range, Topology};
+use crate::balance::stretch;
 use crate::interface::{Class, ColdRule, ReplicaId, ZoneId};
 
 /// Unknowns of one kind that are named one by one.
@@ -131,11 +132,12 @@
 
 impl std::error::Error for ForecastError {}
 
-/// How many times a part's mean time a query takes: the module's own rule (`src/balance.rs`: `wide`, `QUERY_STRETCH`,
-/// `STEPS_STRETCH`). Stands in for the module's own function, which is to take its place here and nowhere else.
-fn stretch(parts: f64, steps: u32) -> f64 {
-    let wide = 1.0 + 0.45 * (parts.max(24.0) / 24.0).ln();
-    2.0 * wide * if steps > 1 { 1.5 } else { 1.0 }
+/// The module's rule on a query's stretch, for a mean number of parts: it lies between those of the whole numbers
+/// beside it.
+fn mean_stretch(parts: f64, steps: u32) -> f64 {
+    let whole = parts as usize;
+    let (least, most) = (stretch(whole, steps), stretch(whole.saturating_add(1), steps));
+    least + (most - least) * parts.fract()
 }
 
 /// What `to` would cost under this demand, which was seen on `base`.
@@ -259,8 +261,8 @@
         let steps = if told.second_step > 0 { 2 } else { 1 };
         let (mut now, mut then, mut all) = (0.0, 0.0, 0.0);
         for f in fan_out.iter().filter(|f| f.class == *class) {
-            now += f.queries_s.mid * stretch(f.parts_before, steps);
-            then += f.queries_s.mid * stretch(f.mean_parts.mid, steps);
+            now += f.queries_s.mid * mean_stretch(f.parts_before, steps);
+            then += f.queries_s.mid * mean_stretch(f.mean_parts.mid, steps);
             all += f.queries_s.mid;
         }
         let wider = if all > 0.0 { then / now } else { 1.0 };
--- a/src/foresight/gather.rs
+++ b/src/foresight/gather.rs
@@ -1,5 +1,6 @@
 //! Reports of the whole fleet, each (member, incarnation, window) once, and the demand that they add up to.
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::rc::Rc;
 
 use serde::Serialize;
@@ -16,6 +17,9 @@
 /// Invariant: of each (member, incarnation, window) one report at most is held, the one that saw most, and of all keys
 /// ever put in the greatest `most` alone. Both are greatest elements, so that [`Gathered::merge`] is idempotent,
 /// commutative and associative: what comes twice, late or in another order changes nothing.
+///
+/// Invariant: none is more than one window ahead of the time at which it was put in. Else a clock that runs off, with
+/// windows that nobody reaches, would drive all others out for good.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Gathered {
     most: usize,
@@ -23,6 +27,30 @@
     reports: BTreeMap<Of, Rc<Report>>,
 }
 
+/// Why a report is not taken; nothing has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GatherError {
+    /// Windows of another length, in milliseconds.
+    Length { told: u64, held: u64 },
+    /// A window more than one after that which is open.
+    Ahead { window: u64, open: u64 },
+}
+
+impl fmt::Display for GatherError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GatherError::Length { told, held } => {
+                write!(f, "report of demand over windows of {told} ms, those held are of {held} ms")
+            }
+            GatherError::Ahead { window, open } => {
+                write!(f, "report of demand on window {window}, which is ahead: window {open} is open")
+            }
+        }
+    }
+}
+
+impl std::error::Error for GatherError {}
+
 /// What a demand rests on.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Coverage {
@@ -102,26 +130,30 @@
         Gathered { most: most.max(1), window_ms, reports: BTreeMap::new() }
     }
 
-    /// Whether it changed anything. A report of windows of another length does not.
-    pub fn insert(&mut self, report: Rc<Report>) -> bool {
+    /// Whether it changed anything. One window ahead of `now_ms`, fleet time, is room for the clocks' bound.
+    pub fn insert(&mut self, report: Rc<Report>, now_ms: u64) -> Result<bool, GatherError> {
         if report.window_ms != self.window_ms {
-            return false;
+            return Err(GatherError::Length { told: report.window_ms, held: self.window_ms });
+        }
+        let open = now_ms / self.window_ms.max(1);
+        if report.window > open.saturating_add(1) {
+            return Err(GatherError::Ahead { window: report.window, open });
         }
         let key = (report.window, report.member.name.clone(), report.member.incarnation);
         if self.reports.get(&key).is_some_and(|held| !report.newer_than(held)) {
-            return false;
+            return Ok(false);
         }
         self.reports.insert(key.clone(), report);
         if self.reports.len() > self.most {
-            return self.reports.pop_first().is_none_or(|(out, _)| out != key);
+            return Ok(self.reports.pop_first().is_none_or(|(out, _)| out != key));
         }
-        true
+        Ok(true)
     }
 
-    pub fn merge(&mut self, other: &Gathered) {
-        for report in other.reports.values() {
-            self.insert(report.clone());
-        }
+    /// Take all that the other holds; those that [`Gathered::insert`] would not take are counted.
+    pub fn merge(&mut self, other: &Gathered, now_ms: u64) -> usize {
+        let reports = other.reports.values();
+        reports.filter(|report| self.insert((*report).clone(), now_ms).is_err()).count()
     }
 
     pub fn len(&self) -> usize {
--- a/src/foresight/mod.rs
+++ b/src/foresight/mod.rs
@@ -20,7 +20,7 @@
 pub use demand::{Asked, Asks, Keeper, Limits, Sent};
 pub use file::{parse, Plan, PlanError};
 pub use forecast::{forecast, Given, Seen};
-pub use gather::{Coverage, Demand, Gathered};
+pub use gather::{Coverage, Demand, GatherError, Gathered};
 pub use report::{Report, ReportError};
 pub use topology::{Server, Tile, Topology, TopologyError};
 
--- a/tests/foresight/fleet.rs
+++ b/tests/foresight/fleet.rs
@@ -247,7 +247,7 @@
     for keeper in &mut keepers {
         for report in keeper.reports(end) {
             *seen.entry(report.window).or_default() += 1;
-            gathered.insert(Rc::new(report));
+            gathered.insert(Rc::new(report), end).expect("of now");
         }
     }
     assert_eq!(seen.len() as u64, shape.windows);
--- a/tests/foresight/merging.rs
+++ b/tests/foresight/merging.rs
@@ -2,11 +2,12 @@
 use std::rc::Rc;
 
 use marlgap::fleet::MemberId;
-use marlgap::foresight::{Asked, Asks, Gathered, Keeper, Limits, Report, Sent};
+use marlgap::foresight::{Asked, Asks, GatherError, Gathered, Keeper, Limits, Report, Sent};
 use marlgap::interface::ReplicaId;
 use proptest::prelude::*;
 
 const WINDOW: u64 = 60_000;
+const NOW: u64 = 9 * WINDOW;
 
 fn keep(keeper: &mut Keeper, ms: u64, tiles: &[u32], again: bool) {
     let asks = Asks::Tiles(tiles);
@@ -35,7 +36,7 @@
 fn gathered(most: usize, all: &[Rc<Report>]) -> Gathered {
     let mut out = Gathered::new(most, WINDOW);
     for report in all {
-        out.insert(report.clone());
+        out.insert(report.clone(), NOW).expect("of now");
     }
     out
 }
@@ -51,7 +52,7 @@
     #[test]
     fn merging_is_idempotent_commutative_and_associative(a in some(), b in some(), c in some(), most in 1usize..20) {
         let of = |list: &[Rc<Report>]| gathered(most, list);
-        let merge = |a: &Gathered, b: &Gathered| { let mut a = a.clone(); a.merge(b); a };
+        let merge = |a: &Gathered, b: &Gathered| { let mut a = a.clone(); a.merge(b, NOW); a };
         let (a, b, c) = (of(&a), of(&b), of(&c));
         prop_assert_eq!(merge(&a, &b), merge(&b, &a));
         prop_assert_eq!(merge(&merge(&a, &b), &c), merge(&a, &merge(&b, &c)));
@@ -89,6 +90,22 @@
     );
 }
 
+#[test]
+fn a_report_from_the_future_is_refused_and_drives_none_out() {
+    let mut all = gathered(2, &[report(1, 1, 8, 5), report(2, 1, 8, 5)]);
+    let before = all.clone();
+    let refused = Err(GatherError::Ahead { window: 11, open: 9 });
+    assert_eq!(all.insert(report(3, 1, 11, 5), NOW), refused);
+    assert_eq!(all.insert(report(3, 1, 11, 5), NOW + WINDOW - 1), refused, "to the window's last moment");
+    let mut ahead = Gathered::new(2, WINDOW);
+    assert_eq!(ahead.insert(report(3, 1, 11, 5), NOW + WINDOW), Ok(true), "one window ahead");
+    assert_eq!(all.merge(&ahead, NOW), 1, "nor out of another set");
+    let mut other = Gathered::new(2, 2 * WINDOW);
+    let told = GatherError::Length { told: WINDOW, held: 2 * WINDOW };
+    assert_eq!(other.insert(report(1, 1, 8, 5), NOW), Err(told));
+    assert_eq!((all, other.len()), (before, 0));
+}
+
 #[test]
 fn a_demand_says_whom_it_rests_on_what_share_that_is_and_how_old() {
     let all = [report(1, 1, 5, 60), report(1, 1, 6, 60), report(2, 1, 5, 20)];
