--- /dev/null
+++ b/src/fleet/log/node.rs
@@ -0,0 +1,455 @@
+//! The machine itself: one voter, or one member that only learns.
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, HardState, Message, Snapshot};
+use raft::{Config, RawNode, StateRole, Storage as _};
+
+use super::command::{self, mix, Command, ProposalId};
+use super::frame::{self, Held, ReceiveError, HEAD};
+use super::memory::Memory;
+use super::roster::{Outcome, Refusal, Roster, MOST_MEMBERS};
+use super::stored::{self, Batch, Hard, Stored};
+use super::{voter, CompactError, Identity, Limits, LogAct, ProposeError, StoredError};
+
+pub struct Log {
+    node: RawNode<Memory>,
+    me: Identity,
+    id: u64,
+    cluster: u64,
+    limits: Limits,
+    seed: u64,
+    serial: u64,
+    roster: Roster,
+    /// Names of the voters and of those who learn.
+    names: BTreeMap<u64, Rc<str>>,
+    applied: u64,
+    leads: bool,
+    wants: bool,
+    stopped: Option<String>,
+    acts: Vec<LogAct>,
+}
+
+impl Log {
+    /// Goes on from what is durable. `serial` starts above every number that this voter has given a proposal of the
+    /// same process.
+    pub fn new(me: Identity, stored: Stored, limits: Limits) -> Result<Log, StoredError> {
+        let id = voter(&me.name, me.disk);
+        let mut memory = Memory::default();
+        let mut roster = Roster::default();
+        let mut acts = Vec::new();
+        if let Some(bytes) = &stored.snapshot {
+            let snapshot = Snapshot::parse_from_bytes(bytes)
+                .map_err(|e| command::FormError::Undecodable(e.to_string()))?;
+            if !frame::plausible(snapshot.get_metadata().get_conf_state()) {
+                return Err(StoredError::Voters);
+            }
+            let (kept, others) = stored::contents(&snapshot)?;
+            roster = kept;
+            acts.push(LogAct::Restored { index: snapshot.get_metadata().index, roster: roster.clone(), others });
+            memory.install(snapshot);
+        }
+        let from = memory.base.0;
+        let mut entries = Vec::with_capacity(stored.entries.len());
+        for (index, bytes) in &stored.entries {
+            let entry = stored::entry(bytes)?;
+            let follows = entries.last().map_or(entry.index <= from + 1, |e: &Entry| entry.index == e.index + 1);
+            if entry.index != *index || !follows {
+                return Err(StoredError::Gap(*index));
+            }
+            entries.push(entry);
+        }
+        // Entries before the snapshot stay for members that are behind; the place before the first is not known any
+        // more, so that the first one kept becomes the base.
+        if entries.first().is_some_and(|e| e.index <= from) {
+            let first = entries.remove(0);
+            memory.base = (first.index, first.term);
+        }
+        memory.append(&entries);
+        let Hard { term, vote, commit } = stored.hard;
+        if commit > memory.last() || memory.last() < from {
+            return Err(StoredError::Missing(commit.max(from)));
+        }
+        if commit < from {
+            return Err(StoredError::Missing(from));
+        }
+        memory.hard = HardState { term, vote, commit, ..HardState::default() };
+        let config = Config {
+            id,
+            election_tick: limits.election,
+            heartbeat_tick: limits.heartbeat,
+            min_election_tick: limits.election,
+            max_election_tick: limits.election.saturating_mul(2),
+            applied: from,
+            // Well under a frame: one entry more than this may follow it into the message.
+            max_size_per_msg: (limits.frame.saturating_sub(limits.command + 1024) / 2) as u64,
+            max_inflight_msgs: 64,
+            check_quorum: true,
+            pre_vote: true,
+            max_uncommitted_size: limits.under_way as u64,
+            max_committed_size_per_ready: 1 << 20,
+            ..Config::default()
+        };
+        if limits.command + 1024 > limits.frame {
+            return Err(StoredError::Limits("a command does not fit in a frame".into()));
+        }
+        let quiet = slog::Logger::root(slog::Discard, slog::o!());
+        let node =
+            RawNode::new(&config, memory, &quiet).map_err(|e| StoredError::Limits(e.to_string()))?;
+        let mut log = Log {
+            node,
+            seed: mix(id),
+            me,
+            id,
+            cluster: stored.cluster,
+            limits,
+            serial: 0,
+            names: BTreeMap::new(),
+            roster,
+            applied: from,
+            leads: false,
+            wants: false,
+            stopped: None,
+            acts,
+        };
+        log.name_voters();
+        log.time_out();
+        Ok(log)
+    }
+
+    pub fn identity(&self) -> &Identity {
+        &self.me
+    }
+
+    pub fn cluster(&self) -> u64 {
+        self.cluster
+    }
+
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Index of the last entry that was applied.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// Who leads, as far as this member knows.
+    pub fn leader(&self) -> Option<Rc<str>> {
+        self.names.get(&self.node.raft.leader_id).cloned()
+    }
+
+    pub fn term(&self) -> u64 {
+        self.node.raft.term
+    }
+
+    /// Index, term and bytes of the entries held.
+    pub fn held(&self) -> (u64, u64, usize) {
+        let memory = self.node.store();
+        (memory.first(), memory.last(), memory.bytes)
+    }
+
+    pub fn tick(&mut self) {
+        if self.stopped.is_none() {
+            self.node.tick();
+            self.time_out();
+        }
+    }
+
+    /// A message of another member, with the name that its connection gave.
+    pub fn receive(&mut self, from: &str, bytes: &[u8]) -> Result<(), ReceiveError> {
+        if let Some(why) = &self.stopped {
+            return Err(ReceiveError::Stopped(why.clone()));
+        }
+        let message = frame::decode(self.cluster, self.limits.frame, bytes)?;
+        if self.names.get(&message.from).is_some_and(|name| &**name != from) {
+            return Err(ReceiveError::Fields("in another's name"));
+        }
+        let log = &self.node.raft.raft_log;
+        let held = Held {
+            me: self.id,
+            term: self.node.raft.term,
+            last: log.last_index(),
+            committed: log.committed,
+            committed_term: log.term(log.committed).unwrap_or(0),
+            term_at: &|index| log.term(index).ok().filter(|t| *t != 0),
+        };
+        frame::check(&message, &held)?;
+        if !self.names.contains_key(&message.from) && self.names.len() < 2 * MOST_MEMBERS {
+            // A member that joins knows nobody yet and has to answer.
+            self.names.insert(message.from, from.into());
+        }
+        let done = self.node.step(message).map_err(|e| ReceiveError::Refused(e.to_string()));
+        self.time_out();
+        done
+    }
+
+    /// Proposes to the others; only the leader can. A proposal that was taken may still vanish with its leader: whoever
+    /// made it asks again until it sees it applied, and one that stands already changes nothing.
+    pub fn propose(&mut self, command: &Command) -> Result<ProposalId, ProposeError> {
+        if let Some(why) = &self.stopped {
+            return Err(ProposeError::Stopped(why.clone()));
+        }
+        if !self.leads {
+            return Err(ProposeError::NotLeader { leader: self.leader() });
+        }
+        let proposal = ProposalId { by: self.id, serial: self.serial + 1 };
+        let bytes = command::encode(proposal, command);
+        if bytes.len() > self.limits.command {
+            return Err(ProposeError::Large { bytes: bytes.len(), most: self.limits.command });
+        }
+        if self.node.store().bytes + bytes.len() > self.limits.held {
+            return Err(ProposeError::Full);
+        }
+        let (outcome, next) = self.roster.after(self.node.raft.raft_log.last_index() + 1, command);
+        if matches!(outcome, Outcome::Stood | Outcome::Refused(_)) {
+            return Err(ProposeError::Pointless(outcome));
+        }
+        let changes = next.map_or_else(Vec::new, |next| changes(&self.roster, &next));
+        let taken = if changes.is_empty() {
+            self.node.propose(Vec::new(), bytes)
+        } else {
+            if self.node.raft.has_pending_conf() || !self.node.store().conf.get_voters_outgoing().is_empty() {
+                return Err(ProposeError::Busy);
+            }
+            let mut change = ConfChangeV2::default();
+            change.set_changes(changes.into());
+            change.set_context(bytes.into());
+            self.node.propose_conf_change(Vec::new(), change)
+        };
+        taken.map_err(|_| ProposeError::Full)?;
+        self.serial += 1;
+        Ok(proposal)
+    }
+
+    /// A snapshot of all that was applied and was given out by [`Log::ready`]: `others` is the state of the other parts
+    /// after it. Older entries go.
+    pub fn compact(&mut self, others: &[u8]) -> Result<(), CompactError> {
+        if self.node.has_ready() || !self.acts.is_empty() {
+            return Err(CompactError::NotNow);
+        }
+        let memory = self.node.store();
+        let term = memory.term(self.applied).unwrap_or(0);
+        let made = stored::snapshot(self.applied, term, memory.conf.clone(), &self.roster, others);
+        let made = made.map_err(CompactError::Form)?;
+        let bytes = made
+            .write_to_bytes()
+            .map_err(|e| CompactError::Form(command::FormError::Undecodable(e.to_string())))?;
+        let most = self.limits.frame.saturating_sub(HEAD + 256);
+        if bytes.len() > most {
+            return Err(CompactError::Large { bytes: bytes.len(), most });
+        }
+        let keep = self.applied.saturating_sub(self.limits.keep);
+        let memory = self.node.mut_store();
+        memory.snapshot = made;
+        memory.drop_before(keep + 1);
+        // The place before the first entry is kept as an entry of its own, so that its term is known after a restart.
+        let first = memory.base.0;
+        let batch = Batch { hard: hard(&memory.hard), snapshot: Some(bytes), first, ..Batch::default() };
+        self.wants = false;
+        self.acts.push(LogAct::Persist(batch));
+        Ok(())
+    }
+
+    /// What is to be done since the last call, in order.
+    pub fn ready(&mut self) -> Vec<LogAct> {
+        while self.stopped.is_none() && self.node.has_ready() {
+            self.step_ready();
+        }
+        let behind = self.applied - self.node.store().snapshot.get_metadata().index;
+        if (self.wants || behind > self.limits.keep) && self.stopped.is_none() && self.applied > 0 {
+            self.wants = true;
+            if !self.acts.contains(&LogAct::Compact) {
+                self.acts.push(LogAct::Compact);
+            }
+        }
+        std::mem::take(&mut self.acts)
+    }
+
+    /// Invariant: the batch comes before every message and everything applied that rests on it.
+    fn step_ready(&mut self) {
+        let mut ready = self.node.ready();
+        let mut batch = Batch { first: self.node.store().base.0, ..Batch::default() };
+        let mut write = false;
+        let mut restored = None;
+        if !ready.snapshot().is_empty() {
+            let snapshot = ready.snapshot().clone();
+            match (stored::contents(&snapshot), snapshot.write_to_bytes()) {
+                (Ok((roster, others)), Ok(bytes)) => {
+                    let index = snapshot.get_metadata().index;
+                    batch.snapshot = Some(bytes);
+                    batch.replace = Some(0);
+                    batch.first = index;
+                    self.node.mut_store().install(snapshot);
+                    self.roster = roster.clone();
+                    self.name_voters();
+                    self.applied = index;
+                    restored = Some(LogAct::Restored { index, roster, others });
+                    write = true;
+                }
+                // Looked at before it was stepped: not reached.
+                _ => return self.stop("a snapshot that can't be read"),
+            }
+        }
+        let entries = ready.take_entries();
+        if let Some(first) = entries.first() {
+            batch.replace = Some(batch.replace.unwrap_or(first.index));
+            for e in &entries {
+                match e.write_to_bytes() {
+                    Ok(bytes) => batch.entries.push((e.index, bytes)),
+                    Err(_) => return self.stop("an entry that can't be written"),
+                }
+            }
+            self.node.mut_store().append(&entries);
+            write = true;
+        }
+        if let Some(hs) = ready.hs() {
+            let old = &self.node.store().hard;
+            // Where the log is agreed on is a help alone: it waits for the next batch.
+            write |= (hs.term, hs.vote) != (old.term, old.vote);
+            self.node.mut_store().hard = hs.clone();
+        }
+        if write {
+            batch.hard = hard(&self.node.store().hard);
+            self.acts.push(LogAct::Persist(batch));
+        }
+        self.acts.extend(restored);
+        let leads = self.node.raft.state == StateRole::Leader;
+        if leads != self.leads {
+            self.leads = leads;
+            self.acts.push(LogAct::Lead(leads));
+        }
+        let mut messages = ready.take_messages();
+        messages.append(&mut ready.take_persisted_messages());
+        self.send(messages);
+        let agreed = ready.take_committed_entries();
+        self.apply(agreed);
+        if self.stopped.is_some() {
+            return;
+        }
+        let mut light = self.node.advance(ready);
+        if let Some(commit) = light.commit_index() {
+            self.node.mut_store().hard.commit = commit;
+        }
+        self.send(light.take_messages());
+        let agreed = light.take_committed_entries();
+        self.apply(agreed);
+        self.node.advance_apply();
+        self.time_out();
+    }
+
+    fn send(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            // Voters that are no more are not answered.
+            let Some(to) = self.names.get(&message.to).cloned() else { continue };
+            match frame::encode(self.cluster, &message) {
+                Ok(bytes) => self.acts.push(LogAct::Send { to, bytes }),
+                Err(_) => return self.stop("a message that can't be written"),
+            }
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            if self.stopped.is_some() {
+                return;
+            }
+            self.apply_one(&entry);
+            self.applied = entry.index;
+        }
+    }
+
+    fn apply_one(&mut self, entry: &Entry) {
+        let change = match entry.get_entry_type() {
+            EntryType::EntryNormal => None,
+            _ => match ConfChangeV2::parse_from_bytes(&entry.data) {
+                Ok(change) => Some(change),
+                Err(_) => return,
+            },
+        };
+        let data: &[u8] = change.as_ref().map_or(&entry.data, |c| c.get_context());
+        if data.is_empty() {
+            // A new leader's first entry; or the second half of a change, which the crate proposes by itself.
+            if let Some(change) = change.filter(|c| c.get_changes().is_empty()) {
+                if !self.node.store().conf.get_voters_outgoing().is_empty() {
+                    self.change_voters(&change);
+                }
+            }
+            return;
+        }
+        // Every member reads the same bytes: what one can't read none can.
+        let Ok((proposal, command)) = command::decode(data) else { return };
+        let (mut outcome, next) = self.roster.after(entry.index, &command);
+        if let Some(next) = next {
+            // Worked out by the leader when it proposed: another entry may have come between.
+            let wanted = changes(&self.roster, &next);
+            let given = change.as_ref().map_or(&[][..], |c| c.get_changes());
+            if wanted != given {
+                outcome = Outcome::Refused(Refusal::Stale(entry.index));
+            } else {
+                if let Some(change) = change {
+                    self.change_voters(&change);
+                    // Whoever is new can't use a snapshot that does not name it.
+                    self.wants = true;
+                }
+                self.roster = next;
+                self.name_voters();
+            }
+        }
+        self.acts.push(LogAct::Applied { index: entry.index, proposal, command, outcome });
+    }
+
+    fn change_voters(&mut self, change: &ConfChangeV2) {
+        match self.node.apply_conf_change(change) {
+            Ok(conf) => self.node.mut_store().conf = conf,
+            Err(e) => self.stop(&format!("a change of voters: {e}")),
+        }
+    }
+
+    fn stop(&mut self, why: &str) {
+        self.stopped = Some(why.to_string());
+        self.leads = false;
+        self.acts.push(LogAct::Stopped(why.to_string()));
+    }
+
+    fn name_voters(&mut self) {
+        self.names = self.roster.seats().map(|s| (s.voter(), s.member.id.name.clone())).collect();
+    }
+
+    /// The crate draws a time-out by chance whenever term or role change, for use in later ticks: this takes its place
+    /// before any of them.
+    fn time_out(&mut self) {
+        let raft = &mut self.node.raft;
+        let drawn = mix(self.seed ^ mix(raft.term << 3 | raft.state as u64));
+        let election = self.limits.election as u64;
+        raft.set_randomized_election_timeout((election + drawn % election) as usize);
+    }
+}
+
+fn hard(hs: &HardState) -> Hard {
+    Hard { term: hs.term, vote: hs.vote, commit: hs.commit }
+}
+
+/// What makes the voters of one roster those of the next, in the order of their numbers.
+fn changes(old: &Roster, new: &Roster) -> Vec<ConfChangeSingle> {
+    let roles = |roster: &Roster| -> BTreeMap<u64, ConfChangeType> {
+        let (voters, learners) = roster.voters();
+        let voters = voters.into_iter().map(|id| (id, ConfChangeType::AddNode));
+        voters.chain(learners.into_iter().map(|id| (id, ConfChangeType::AddLearnerNode))).collect()
+    };
+    let (old, new) = (roles(old), roles(new));
+    let added = new.iter().filter(|(id, role)| old.get(id) != Some(role)).map(|(id, role)| (*id, *role));
+    let gone = old.keys().filter(|id| !new.contains_key(id)).map(|id| (*id, ConfChangeType::RemoveNode));
+    let single = |(id, kind)| {
+        let mut change = ConfChangeSingle::default();
+        change.node_id = id;
+        change.set_change_type(kind);
+        change
+    };
+    added.chain(gone).map(single).collect()
+}
