--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! Rumours make things fast, majorities make them safe: what is told of who is alive may choose whom to ask first, and
 //! nothing more.
 pub mod config;
+pub mod found;
 pub mod log;
 
 use std::fmt;
--- /dev/null
+++ b/src/net/fleet/mod.rs
@@ -0,0 +1,2 @@
+//! Members of a fleet among each other: what touches a disk or a socket.
+pub mod store;
--- /dev/null
+++ b/src/net/fleet/store.rs
@@ -0,0 +1,343 @@
+//! What a voter must not forget, on disk: its disk's number, how far founding is, votes, entries and the snapshot.
+//!
+//! One file by `redb`, each batch one durable transaction; and beside it, in `FILE.mark`, the number of the last batch
+//! that was acknowledged. `redb` keeps two commits and goes back to the earlier one when the later does not check: after
+//! a process that ended within a write that is right, after a spoilt byte it would be an older vote.
+//!
+//! Invariant: [`Store::persist`] returns only when both are durable, so that a file that opens holds every batch that
+//! was acknowledged, or it does not open. Each record carries a check over its key and bytes, the head says how many
+//! entries there are, and the mark says how far the file has to be.
+use std::fmt;
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
+
+use crate::fleet::log::{Batch, Hard, Stored};
+
+const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
+const ENTRIES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
+/// Pages that are kept in memory: the log is read once, at the start.
+const CACHE: usize = 4 << 20;
+/// Two slots, written by turns, each on a block of its own: a write that is torn spoils one of them.
+const SLOT: u64 = 4096;
+const SLOT_BYTES: usize = 24;
+
+/// Why a store is not used. The voter stays out.
+#[derive(Debug)]
+pub enum StoreError {
+    Io(io::Error),
+    /// The file can't be read as it was written.
+    Spoilt(String),
+    /// The file is older than what was acknowledged.
+    WentBack {
+        file: u64,
+        mark: u64,
+    },
+    /// One of the two files is missing.
+    Missing(PathBuf),
+    /// An earlier write failed: nothing more is written.
+    Failed,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Io(e) => write!(f, "{e}"),
+            StoreError::Spoilt(why) => write!(f, "spoilt: {why}"),
+            StoreError::WentBack { file, mark } => {
+                write!(f, "batch {file} is the file's last, and batch {mark} was acknowledged")
+            }
+            StoreError::Missing(path) => {
+                write!(f, "{} is missing; remove both files to start as a new disk", path.display())
+            }
+            StoreError::Failed => f.write_str("an earlier write failed"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+impl From<io::Error> for StoreError {
+    fn from(e: io::Error) -> StoreError {
+        StoreError::Io(e)
+    }
+}
+
+/// Errors of `redb`, of many types: a full disk and a spoilt page alike end the use of the file.
+fn spoilt(e: impl fmt::Display) -> StoreError {
+    StoreError::Spoilt(e.to_string())
+}
+
+/// What the file held.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Opened {
+    /// Drawn when the file was made: another file is another voter.
+    pub disk: u64,
+    /// How far founding is, as whoever founds wrote it; empty at first.
+    pub stage: Vec<u8>,
+    pub stored: Stored,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Head {
+    serial: u64,
+    disk: u64,
+    cluster: u64,
+    hard: Hard,
+    /// How many entries there are, and the last one's index.
+    entries: u64,
+    last: u64,
+    snapshot: bool,
+}
+
+#[derive(Debug)]
+pub struct Store {
+    db: Database,
+    mark: File,
+    head: Head,
+    failed: bool,
+}
+
+fn check(key: &[u8], bytes: &[u8]) -> [u8; 8] {
+    use std::hash::Hasher;
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(key);
+    hasher.write_u64(bytes.len() as u64);
+    hasher.write(bytes);
+    hasher.finish().to_be_bytes()
+}
+
+fn seal(key: &[u8], bytes: &[u8]) -> Vec<u8> {
+    [bytes, &check(key, bytes)].concat()
+}
+
+fn unseal(key: &[u8], sealed: &[u8]) -> Result<Vec<u8>, StoreError> {
+    let Some((bytes, sum)) = sealed.split_last_chunk::<8>() else {
+        return Err(StoreError::Spoilt("a record too short".into()));
+    };
+    if check(key, bytes) != *sum {
+        return Err(StoreError::Spoilt(format!("record {}", key.escape_ascii())));
+    }
+    Ok(bytes.to_vec())
+}
+
+impl Head {
+    fn encode(&self) -> Vec<u8> {
+        let Head { serial, disk, cluster, hard, entries, last, snapshot } = *self;
+        let all = [serial, disk, cluster, hard.term, hard.vote, hard.commit, entries, last, u64::from(snapshot)];
+        all.iter().flat_map(|n| n.to_be_bytes()).collect()
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Head, StoreError> {
+        let (numbers, rest) = bytes.as_chunks::<8>();
+        let numbers: Vec<u64> = numbers.iter().map(|n| u64::from_be_bytes(*n)).collect();
+        let ([serial, disk, cluster, term, vote, commit, entries, last, snapshot], []) = (&numbers[..], rest) else {
+            return Err(StoreError::Spoilt("the head's length".into()));
+        };
+        Ok(Head {
+            serial: *serial,
+            disk: *disk,
+            cluster: *cluster,
+            hard: Hard { term: *term, vote: *vote, commit: *commit },
+            entries: *entries,
+            last: *last,
+            snapshot: *snapshot != 0,
+        })
+    }
+}
+
+fn mark_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".mark");
+    name.into()
+}
+
+/// The higher of the two slots that check.
+fn read_mark(mark: &File) -> Result<Option<u64>, StoreError> {
+    let mut highest = None;
+    for slot in 0..2 {
+        let mut bytes = [0; SLOT_BYTES];
+        match mark.read_exact_at(&mut bytes, slot * SLOT) {
+            Ok(()) => {}
+            Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => continue,
+            Err(e) => return Err(e.into()),
+        }
+        if let Ok(serial) = unseal(b"mark", &bytes) {
+            let serial = serial.first_chunk::<8>().map_or(0, |n| u64::from_be_bytes(*n));
+            highest = highest.max(Some(serial));
+        }
+    }
+    Ok(highest)
+}
+
+fn write_mark(mark: &File, serial: u64) -> Result<(), StoreError> {
+    let mut bytes = serial.to_be_bytes().to_vec();
+    bytes.extend_from_slice(b"marlgap1");
+    mark.write_all_at(&seal(b"mark", &bytes), serial % 2 * SLOT)?;
+    mark.sync_data()?;
+    Ok(())
+}
+
+impl Store {
+    /// Opens the file, or makes it with `disk` as its number where there is none.
+    pub fn open(path: &Path, disk: u64) -> Result<(Store, Opened), StoreError> {
+        let aside = mark_path(path);
+        let there = (path.exists(), aside.exists());
+        if there == (true, false) {
+            return Err(StoreError::Missing(aside));
+        }
+        let mark = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&aside)?;
+        let acknowledged = match read_mark(&mark)? {
+            Some(serial) => serial,
+            None if there.0 => return Err(StoreError::Spoilt(format!("{}", aside.display()))),
+            None => {
+                write_mark(&mark, 0)?;
+                0
+            }
+        };
+        if acknowledged > 0 && !there.0 {
+            return Err(StoreError::Missing(path.into()));
+        }
+        if acknowledged == 0 && there.0 {
+            // Ended while it was made: nothing in it was ever acknowledged.
+            std::fs::remove_file(path)?;
+        }
+        let db = Database::builder()
+            .set_cache_size(CACHE)
+            .set_check_integrity_on_open(true)
+            .create(path)
+            .map_err(spoilt)?;
+        let mut store = Store { db, mark, head: Head::default(), failed: false };
+        if acknowledged == 0 {
+            if let Some(parent) = path.canonicalize()?.parent() {
+                File::open(parent)?.sync_all()?;
+            }
+            store.head.disk = disk;
+            store.write(|_, _| Ok(()), &[])?;
+            return Ok((store, Opened { disk, ..Opened::default() }));
+        }
+        let opened = store.load()?;
+        let file = store.head.serial;
+        if file < acknowledged || file > acknowledged + 1 {
+            return Err(StoreError::WentBack { file, mark: acknowledged });
+        }
+        if file > acknowledged {
+            // It ended between the two: what was not acknowledged may stand as well as not.
+            write_mark(&store.mark, file)?;
+        }
+        Ok((store, opened))
+    }
+
+    fn load(&mut self) -> Result<Opened, StoreError> {
+        let read = self.db.begin_read().map_err(spoilt)?;
+        let meta = read.open_table(META).map_err(spoilt)?;
+        let get = |key: &str| -> Result<Option<Vec<u8>>, StoreError> {
+            let sealed = meta.get(key).map_err(spoilt)?;
+            sealed.map(|s| unseal(key.as_bytes(), s.value())).transpose()
+        };
+        let head = get("head")?.ok_or_else(|| StoreError::Spoilt("no head".into()))?;
+        self.head = Head::decode(&head)?;
+        let snapshot = get("snapshot")?;
+        let table = read.open_table(ENTRIES).map_err(spoilt)?;
+        let mut entries: Vec<(u64, Vec<u8>)> = Vec::new();
+        for record in table.iter().map_err(spoilt)? {
+            let (index, sealed) = record.map_err(spoilt)?;
+            let index = index.value();
+            if entries.last().is_some_and(|(last, _)| last + 1 != index) {
+                return Err(StoreError::Spoilt(format!("a gap before entry {index}")));
+            }
+            entries.push((index, unseal(&index.to_be_bytes(), sealed.value())?));
+        }
+        let last = entries.last().map_or(0, |(index, _)| *index);
+        let count = (entries.len() as u64, last, snapshot.is_some());
+        if count != (self.head.entries, self.head.last, self.head.snapshot) {
+            return Err(StoreError::Spoilt("records are missing".into()));
+        }
+        let Head { disk, cluster, hard, .. } = self.head;
+        let stage = get("stage")?.ok_or_else(|| StoreError::Spoilt("no stage".into()))?;
+        Ok(Opened { disk, stage, stored: Stored { cluster, hard, snapshot, entries } })
+    }
+
+    /// One transaction with the head, then the mark. `stage` empty: as it is.
+    fn write(
+        &mut self,
+        change: impl FnOnce(&mut Head, &redb::WriteTransaction) -> Result<(), StoreError>,
+        stage: &[u8],
+    ) -> Result<(), StoreError> {
+        if self.failed {
+            return Err(StoreError::Failed);
+        }
+        self.failed = true;
+        let txn = self.db.begin_write().map_err(spoilt)?;
+        let mut head = self.head;
+        head.serial += 1;
+        change(&mut head, &txn)?;
+        {
+            let entries = txn.open_table(ENTRIES).map_err(spoilt)?;
+            head.entries = entries.len().map_err(spoilt)?;
+            head.last = entries.last().map_err(spoilt)?.map_or(0, |(index, _)| index.value());
+            let mut meta = txn.open_table(META).map_err(spoilt)?;
+            if !stage.is_empty() || head.serial == 1 {
+                meta.insert("stage", seal(b"stage", stage).as_slice()).map_err(spoilt)?;
+            }
+            head.snapshot = meta.get("snapshot").map_err(spoilt)?.is_some();
+            meta.insert("head", seal(b"head", &head.encode()).as_slice()).map_err(spoilt)?;
+        }
+        txn.commit().map_err(spoilt)?;
+        write_mark(&self.mark, head.serial)?;
+        self.head = head;
+        self.failed = false;
+        Ok(())
+    }
+
+    /// All of the batch is durable when this returns. After an error nothing more is written.
+    pub fn persist(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        let change = |head: &mut Head, txn: &redb::WriteTransaction| {
+            head.hard = batch.hard;
+            put(txn, batch.snapshot.as_deref(), batch.replace, &batch.entries, batch.first)
+        };
+        self.write(change, &[])
+    }
+
+    /// How far founding is.
+    pub fn stage(&mut self, stage: &[u8]) -> Result<(), StoreError> {
+        self.write(|_, _| Ok(()), stage)
+    }
+
+    /// The log begins, in one step with the stage that says so.
+    pub fn begin(&mut self, stored: &Stored, stage: &[u8]) -> Result<(), StoreError> {
+        let change = |head: &mut Head, txn: &redb::WriteTransaction| {
+            (head.cluster, head.hard) = (stored.cluster, stored.hard);
+            put(txn, stored.snapshot.as_deref(), Some(0), &stored.entries, 0)
+        };
+        self.write(change, stage)
+    }
+}
+
+fn put(
+    txn: &redb::WriteTransaction,
+    snapshot: Option<&[u8]>,
+    replace: Option<u64>,
+    entries: &[(u64, Vec<u8>)],
+    first: u64,
+) -> Result<(), StoreError> {
+    if let Some(snapshot) = snapshot {
+        let mut meta = txn.open_table(META).map_err(spoilt)?;
+        meta.insert("snapshot", seal(b"snapshot", snapshot).as_slice()).map_err(spoilt)?;
+    }
+    let mut table = txn.open_table(ENTRIES).map_err(spoilt)?;
+    if let Some(from) = replace {
+        table.retain_in(from.., |_, _| false).map_err(spoilt)?;
+    }
+    for (index, bytes) in entries {
+        table.insert(index, seal(&index.to_be_bytes(), bytes).as_slice()).map_err(spoilt)?;
+    }
+    table.retain_in(..first, |_, _| false).map_err(spoilt)
+}
+
+#[cfg(test)]
+#[path = "store_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/net/fleet/store_tests.rs
@@ -0,0 +1,187 @@
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::*;
+
+struct Dir(PathBuf);
+
+impl Dir {
+    fn new(name: &str) -> Dir {
+        let dir = std::env::temp_dir().join(format!("marlgap-store-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a directory");
+        Dir(dir)
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+}
+
+impl Drop for Dir {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Entries come and are replaced, terms rise, snapshots let older entries go.
+fn batch(n: u64) -> Batch {
+    let entries = vec![(n, format!("entry {n} ").repeat(n as usize % 9 + 1).into_bytes())];
+    let hard = Hard { term: n, vote: n * 7, commit: n.saturating_sub(2) };
+    let snapshot = n.is_multiple_of(10).then(|| vec![n as u8; 300]);
+    Batch { hard, snapshot, replace: Some(n), entries, first: n.saturating_sub(30) }
+}
+
+fn after(n: u64) -> Stored {
+    let mut stored = Stored { cluster: 5, ..Stored::default() };
+    (1..=n).for_each(|i| stored.add(&batch(i)));
+    stored
+}
+
+fn filled(path: &Path, batches: u64) -> Store {
+    let (mut store, opened) = Store::open(path, 77).expect("a new store");
+    assert_eq!(opened, Opened { disk: 77, ..Opened::default() });
+    store.begin(&Stored { cluster: 5, ..Stored::default() }, b"founded").expect("written");
+    (1..=batches).for_each(|n| store.persist(&batch(n)).expect("written"));
+    store
+}
+
+#[test]
+fn what_was_written_is_read_and_a_lost_file_is_told() {
+    let dir = Dir::new("plain");
+    let path = dir.file("a.redb");
+    drop(filled(&path, 50));
+    let (store, opened) = Store::open(&path, 1).expect("opened");
+    assert_eq!(opened, Opened { disk: 77, stage: b"founded".to_vec(), stored: after(50) });
+    assert!(Store::open(&path, 1).is_err(), "one process at a time");
+    drop(store);
+    // An older copy of the file, and each file alone.
+    let copy = std::fs::read(&path).expect("a copy");
+    let (mut store, _) = Store::open(&path, 1).expect("opened");
+    store.persist(&batch(51)).expect("written");
+    drop(store);
+    std::fs::write(&path, &copy).expect("put back");
+    assert!(matches!(Store::open(&path, 1), Err(StoreError::WentBack { .. })));
+    std::fs::remove_file(&path).expect("removed");
+    assert!(matches!(Store::open(&path, 1), Err(StoreError::Missing(_))));
+    std::fs::write(&path, &copy).expect("put back");
+    std::fs::remove_file(mark_path(&path)).expect("removed");
+    assert!(matches!(Store::open(&path, 1), Err(StoreError::Missing(_))));
+    assert!(matches!(Store::open(&dir.file("none/a.redb"), 1), Err(StoreError::Io(_))));
+}
+
+/// A file that is cut or has a bit turned round: all that was acknowledged, or a reason.
+#[test]
+fn a_spoilt_file_never_forgets_a_vote() {
+    let dir = Dir::new("spoilt");
+    let path = dir.file("a.redb");
+    drop(filled(&path, 40));
+    let (good, mark) = (std::fs::read(&path).expect("a file"), std::fs::read(mark_path(&path)).expect("a mark"));
+    let used: Vec<usize> = (0..good.len()).filter(|i| good[*i] != 0).collect();
+    let whole = after(40);
+    let outcomes = std::thread::scope(|scope| {
+        let (dir, good, mark, used, whole) = (&dir, &good, &mark, &used, &whole);
+        let one = move |core: u64| {
+            let mut rng = Pcg64Mcg::seed_from_u64(core);
+            let mut pick = move |below: usize| (rng.next_u64() % below.max(1) as u64) as usize;
+            let path = dir.file(&format!("{core}.redb"));
+            let (mut kept, mut back, mut refused) = (0, 0, 0);
+            for round in 0..300 {
+                let mut bytes = good.clone();
+                match round % 4 {
+                    0 => bytes.truncate(pick(good.len())),
+                    // The head of the file, where the commits are told apart; bytes in use; any.
+                    1 => bytes[pick(400)] ^= 1 << pick(8),
+                    2 => bytes[used[pick(used.len())]] ^= 1 << pick(8),
+                    _ => bytes[pick(good.len())] ^= 1 << pick(8),
+                }
+                std::fs::write(&path, &bytes).expect("written");
+                std::fs::write(mark_path(&path), mark).expect("written");
+                let opened = std::panic::catch_unwind(|| Store::open(&path, 1).map(|(_, opened)| opened));
+                match opened.map_err(|_| format!("round {round}")).expect("no panic") {
+                    Ok(opened) => {
+                        assert_eq!((opened.disk, &opened.stored), (77, whole), "core {core}, round {round}");
+                        kept += 1;
+                    }
+                    Err(StoreError::WentBack { .. }) => back += 1,
+                    Err(_) => refused += 1,
+                }
+            }
+            (kept, back, refused)
+        };
+        let threads: Vec<_> = (0..8).map(|core| scope.spawn(move || one(core))).collect();
+        threads.into_iter().map(|t| t.join().expect("a thread")).collect::<Vec<_>>()
+    });
+    let sum = |f: fn(&(i32, i32, i32)) -> i32| outcomes.iter().map(f).sum::<i32>();
+    let (kept, back, refused) = (sum(|o| o.0), sum(|o| o.1), sum(|o| o.2));
+    println!("{kept} whole, {back} went back and were found by the mark, {refused} refused");
+    assert!(kept > 100 && refused > 100);
+    // Without the mark these would have opened with an older vote.
+    assert!(back > 0);
+}
+
+/// Not a test by itself: the child of the next one, which is killed.
+#[test]
+fn writes_until_it_is_killed() {
+    let Ok(path) = std::env::var("MARLGAP_STORE_CHILD") else { return };
+    let (mut store, opened) = Store::open(Path::new(&path), 77).expect("a store");
+    if opened.stored.cluster == 0 {
+        store.begin(&Stored { cluster: 5, ..Stored::default() }, b"founded").expect("written");
+    }
+    for n in opened.stored.hard.term + 1.. {
+        store.persist(&batch(n)).expect("written");
+        println!("ACK {n}");
+    }
+}
+
+#[test]
+fn a_voter_killed_within_a_write_has_forgotten_nothing() {
+    let dir = Dir::new("killed");
+    let path = dir.file("a.redb");
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let mut last = 0;
+    for round in 0..12 {
+        let mut child = Command::new(std::env::current_exe().expect("this program"))
+            .args(["--exact", "net::fleet::store::tests::writes_until_it_is_killed", "--nocapture"])
+            .env("MARLGAP_STORE_CHILD", &path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a child");
+        let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+        let mut left = rng.next_u64() % 12 + 1;
+        while left > 0 {
+            let line = lines.next().expect("a line").expect("text");
+            if let Some((_, n)) = line.split_once("ACK ") {
+                last = n.parse().expect("a number");
+                left -= 1;
+            }
+        }
+        // Somewhere within the next writes.
+        (0..rng.next_u64() % 200_000).for_each(|i| _ = std::hint::black_box(i));
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+        for line in lines.map_while(Result::ok) {
+            last = line.split_once("ACK ").and_then(|(_, n)| n.parse().ok()).unwrap_or(last);
+        }
+        let (store, opened) = Store::open(&path, 1).expect("opened");
+        let held = opened.stored.hard.term;
+        assert!((last..=last + 1).contains(&held), "round {round}: {held} is held, {last} was acknowledged");
+        assert_eq!(opened.stored, after(held), "round {round}");
+        drop(store);
+    }
+}
+
+#[test]
+fn the_price_of_a_batch() {
+    let dir = Dir::new("price");
+    let path = dir.file("a.redb");
+    let mut store = filled(&path, 40);
+    let started = std::time::Instant::now();
+    (41..141).for_each(|n| store.persist(&batch(n)).expect("written"));
+    let each = started.elapsed() / 100;
+    drop(store);
+    println!("{each:?} a batch, {} bytes of file after 140", std::fs::metadata(&path).expect("a file").len());
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod clients;
 pub mod descriptors;
 pub mod discovery;
+pub mod fleet;
 pub mod frames;
 pub mod front;
 pub mod grpc;
