--- a/src/fleet/log/command.rs
+++ b/src/fleet/log/command.rs
@@ -65,7 +65,7 @@
     },
 }
 
-/// The proposer's own name of a proposal: its voter and a number counted from its start.
+/// The proposer's own name of a proposal: its voter, and a number that it never gives twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ProposalId {
     pub by: u64,
@@ -187,7 +187,9 @@
 
 pub fn encode(id: ProposalId, command: &Command) -> Vec<u8> {
     let kind = match command {
-        Command::Admit { seat, base } => form::Kind::Admit(form::Admit { seat: Some(seat_out(seat)), base: *base }),
+        Command::Admit { seat, base } => {
+            form::Kind::Admit(form::Admit { seat: Some(seat_out(seat)), base: *base })
+        }
         Command::Leave(id) => {
             form::Kind::Leave(form::Life { name: id.name.to_string(), incarnation: id.incarnation })
         }
--- a/src/fleet/log/frame.rs
+++ b/src/fleet/log/frame.rs
@@ -19,7 +19,10 @@
 /// A message that was refused. Nothing changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReceiveError {
-    Large { bytes: usize, most: usize },
+    Large {
+        bytes: usize,
+        most: usize,
+    },
     Short(usize),
     Version(u8),
     /// Of another cluster.
@@ -78,7 +81,8 @@
     if bytes.len() > most {
         return Err(ReceiveError::Large { bytes: bytes.len(), most });
     }
-    let number = |b: &[u8]| b.try_into().map(u64::from_be_bytes).map_err(|_| ReceiveError::Short(bytes.len()));
+    let number =
+        |b: &[u8]| b.try_into().map(u64::from_be_bytes).map_err(|_| ReceiveError::Short(bytes.len()));
     let (Some(version), Some(of), Some(check), Some(body)) =
         (bytes.first(), bytes.get(1..9), bytes.get(9..HEAD), bytes.get(HEAD..))
     else {
@@ -113,12 +117,20 @@
     use MessageType::*;
     let fields = |wrong: bool, what| if wrong { Err(ReceiveError::Fields(what)) } else { Ok(()) };
     let now = message.term >= held.term;
-    let against = |wrong: bool, what| if wrong && now { Err(ReceiveError::Contradicts(what)) } else { Ok(()) };
+    let against =
+        |wrong: bool, what| if wrong && now { Err(ReceiveError::Contradicts(what)) } else { Ok(()) };
     let m = message;
     let kind = m.get_msg_type();
     match kind {
-        MsgAppend | MsgAppendResponse | MsgRequestVote | MsgRequestVoteResponse | MsgSnapshot | MsgHeartbeat
-        | MsgHeartbeatResponse | MsgRequestPreVote | MsgRequestPreVoteResponse => {}
+        MsgAppend
+        | MsgAppendResponse
+        | MsgRequestVote
+        | MsgRequestVoteResponse
+        | MsgSnapshot
+        | MsgHeartbeat
+        | MsgHeartbeatResponse
+        | MsgRequestPreVote
+        | MsgRequestPreVoteResponse => {}
         _ => return Err(ReceiveError::Kind(format!("{kind:?}"))),
     }
     if m.to != held.me {
@@ -130,7 +142,10 @@
     fields(numbers.iter().any(|n| *n >= MOST), "a number this high")?;
     fields(m.request_snapshot != 0, "an ask for a snapshot")?;
     fields(kind != MsgAppend && !m.get_entries().is_empty(), "entries in this kind")?;
-    fields(kind != MsgSnapshot && m.has_snapshot() && !m.get_snapshot().is_empty(), "a snapshot in this kind")?;
+    fields(
+        kind != MsgSnapshot && m.has_snapshot() && !m.get_snapshot().is_empty(),
+        "a snapshot in this kind",
+    )?;
     // The crate writes a heartbeat's context only for reads, which are not used, and a vote's for a transfer.
     fields(!m.context.is_empty() && kind != MsgRequestVote && kind != MsgRequestPreVote, "a context")?;
     match kind {
@@ -145,7 +160,10 @@
                 fields(e.get_entry_type() == EntryType::EntryConfChange, "a change of the first kind")?;
                 (index, term) = (e.index, e.term);
             }
-            against(m.index >= held.committed && m.log_term < held.committed_term, "an older log than the agreed one")?;
+            against(
+                m.index >= held.committed && m.log_term < held.committed_term,
+                "an older log than the agreed one",
+            )?;
             against(
                 m.index == held.committed && m.log_term != held.committed_term,
                 "another term of the agreed entry",
@@ -154,11 +172,17 @@
         MsgHeartbeat => against(m.commit > held.last, "agreed beyond this voter's last entry")?,
         MsgAppendResponse => {
             // A refused one names the place of the leader's own question: both lie within its log.
-            against(m.index > held.last || m.reject_hint > held.last, "an answer beyond this voter's last entry")?;
+            against(
+                m.index > held.last || m.reject_hint > held.last,
+                "an answer beyond this voter's last entry",
+            )?;
         }
         MsgSnapshot => {
             let meta = m.get_snapshot().get_metadata();
-            fields(meta.index == 0 || meta.index >= MOST || meta.term == 0 || meta.term > m.term, "such a snapshot")?;
+            fields(
+                meta.index == 0 || meta.index >= MOST || meta.term == 0 || meta.term > m.term,
+                "such a snapshot",
+            )?;
             fields(!plausible(meta.get_conf_state()), "such voters")?;
             let known = (held.term_at)(meta.index).is_some_and(|t| t != meta.term);
             against(meta.index <= held.committed && known, "an entry that is agreed")?;
--- a/src/fleet/log/memory.rs
+++ b/src/fleet/log/memory.rs
@@ -70,7 +70,13 @@
         Ok(RaftState::new(self.hard.clone(), self.conf.clone()))
     }
 
-    fn entries(&self, low: u64, high: u64, most: impl Into<Option<u64>>, _: GetEntriesContext) -> Result<Vec<Entry>> {
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        most: impl Into<Option<u64>>,
+        _: GetEntriesContext,
+    ) -> Result<Vec<Entry>> {
         if low < self.first() {
             return Err(Error::Store(StorageError::Compacted));
         }
--- a/src/fleet/log/mod.rs
+++ b/src/fleet/log/mod.rs
@@ -27,8 +27,8 @@
 use std::rc::Rc;
 
 pub use command::{decode as decode_command, encode as encode_command};
-pub use command::{voter, Command, FormError, ProposalId, Seat};
 pub(super) use command::{fnv, form, mix, seat_in, seat_out};
+pub use command::{voter, Command, FormError, ProposalId, Seat};
 pub use frame::ReceiveError;
 pub use node::Log;
 pub use roster::{Outcome, Refusal, Roster, MOST_EPOCHS, MOST_MEMBERS, MOST_VOTERS};
@@ -158,7 +158,9 @@
         match self {
             StoredError::Form(e) => write!(f, "the stored log: {e}"),
             StoredError::Gap(index) => write!(f, "the stored log has a gap at {index}"),
-            StoredError::Missing(index) => write!(f, "the stored log ends before {index}, which was agreed on"),
+            StoredError::Missing(index) => {
+                write!(f, "the stored log ends before {index}, which was agreed on")
+            }
             StoredError::Voters => f.write_str("the stored log has impossible voters"),
             StoredError::Limits(why) => write!(f, "limits of the log: {why}"),
         }
--- a/src/fleet/log/node.rs
+++ b/src/fleet/log/node.rs
@@ -1,15 +1,18 @@
 //! The machine itself: one voter, or one member that only learns.
+mod apply;
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use protobuf::Message as _;
-use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, HardState, Message, Snapshot};
+use raft::eraftpb::{ConfChangeV2, Entry, HardState, Message, Snapshot};
 use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole, Storage as _};
 
+use self::apply::changes;
 use super::command::{self, mix, Command, ProposalId};
 use super::frame::{self, Held, ReceiveError, HEAD};
 use super::memory::Memory;
-use super::roster::{Outcome, Refusal, Roster, MOST_MEMBERS};
+use super::roster::{Outcome, Roster, MOST_MEMBERS};
 use super::stored::{self, Batch, Hard, Stored};
 use super::{voter, CompactError, Identity, Limits, LogAct, ProposeError, StoredError};
 
@@ -33,8 +36,7 @@
 }
 
 impl Log {
-    /// Goes on from what is durable. `serial` starts above every number that this voter has given a proposal of the
-    /// same process.
+    /// Goes on from what is durable.
     pub fn new(me: Identity, stored: Stored, limits: Limits) -> Result<Log, StoredError> {
         let id = voter(&me.name, me.disk);
         let mut memory = Memory::default();
@@ -48,14 +50,19 @@
             }
             let (kept, others) = stored::contents(&snapshot)?;
             roster = kept;
-            acts.push(LogAct::Restored { index: snapshot.get_metadata().index, roster: roster.clone(), others });
+            acts.push(LogAct::Restored {
+                index: snapshot.get_metadata().index,
+                roster: roster.clone(),
+                others,
+            });
             memory.install(snapshot);
         }
         let from = memory.base.0;
         let mut entries = Vec::with_capacity(stored.entries.len());
         for (index, bytes) in &stored.entries {
             let entry = stored::entry(bytes)?;
-            let follows = entries.last().map_or(entry.index <= from + 1, |e: &Entry| entry.index == e.index + 1);
+            let follows =
+                entries.last().map_or(entry.index <= from + 1, |e: &Entry| entry.index == e.index + 1);
             if entry.index != *index || !follows {
                 return Err(StoredError::Gap(*index));
             }
@@ -69,12 +76,9 @@
         }
         memory.append(&entries);
         let Hard { term, vote, commit } = stored.hard;
-        if commit > memory.last() || memory.last() < from {
+        if commit > memory.last() || commit < from {
             return Err(StoredError::Missing(commit.max(from)));
         }
-        if commit < from {
-            return Err(StoredError::Missing(from));
-        }
         memory.hard = HardState { term, vote, commit, ..HardState::default() };
         let config = Config {
             id,
@@ -96,8 +100,7 @@
             return Err(StoredError::Limits("a command does not fit in a frame".into()));
         }
         let quiet = slog::Logger::root(slog::Discard, slog::o!());
-        let node =
-            RawNode::new(&config, memory, &quiet).map_err(|e| StoredError::Limits(e.to_string()))?;
+        let node = RawNode::new(&config, memory, &quiet).map_err(|e| StoredError::Limits(e.to_string()))?;
         let mut log = Log {
             node,
             seed: mix(id),
@@ -120,19 +123,15 @@
         Ok(log)
     }
 
-    pub fn identity(&self) -> &Identity {
-        &self.me
-    }
-
-    pub fn cluster(&self) -> u64 {
-        self.cluster
+    /// This voter, and the number of its cluster.
+    pub fn identity(&self) -> (&Identity, u64) {
+        (&self.me, self.cluster)
     }
 
     pub fn roster(&self) -> &Roster {
         &self.roster
     }
 
-    /// Index of the last entry that was applied.
     pub fn applied(&self) -> u64 {
         self.applied
     }
@@ -165,7 +164,7 @@
     pub fn tick(&mut self) {
         if self.stopped.is_none() {
             self.ticks += 1;
-            if self.leads && self.ticks % (2 * self.limits.election as u64) == 0 {
+            if self.leads && self.ticks.is_multiple_of(2 * self.limits.election as u64) {
                 self.snapshots_again();
             }
             self.node.tick();
@@ -219,7 +218,9 @@
         if !self.leads {
             return Err(ProposeError::NotLeader { leader: self.leader() });
         }
-        let proposal = ProposalId { by: self.id, serial: self.serial + 1 };
+        // A voter leads a term in one life at most: numbers of an earlier life are never given again.
+        let serial = (self.serial + 1).max(self.node.raft.term << 32);
+        let proposal = ProposalId { by: self.id, serial };
         let bytes = command::encode(proposal, command);
         if bytes.len() > self.limits.command {
             return Err(ProposeError::Large { bytes: bytes.len(), most: self.limits.command });
@@ -244,7 +245,7 @@
             self.node.propose_conf_change(Vec::new(), change)
         };
         taken.map_err(|_| ProposeError::Full)?;
-        self.serial += 1;
+        self.serial = serial;
         Ok(proposal)
     }
 
@@ -269,7 +270,7 @@
         let memory = self.node.mut_store();
         memory.snapshot = made;
         memory.drop_before(keep + 1);
-        // The place before the first entry is kept as an entry of its own, so that its term is known after a restart.
+        // The entry before the first one stays on disk, so that its term is known after a restart.
         let first = memory.base.0;
         let batch = Batch { hard: hard(&memory.hard), snapshot: Some(bytes), first, ..Batch::default() };
         self.wants = false;
@@ -375,63 +376,6 @@
         }
     }
 
-    fn apply(&mut self, entries: Vec<Entry>) {
-        for entry in entries {
-            if self.stopped.is_some() {
-                return;
-            }
-            self.apply_one(&entry);
-            self.applied = entry.index;
-        }
-    }
-
-    fn apply_one(&mut self, entry: &Entry) {
-        let change = match entry.get_entry_type() {
-            EntryType::EntryNormal => None,
-            _ => match ConfChangeV2::parse_from_bytes(&entry.data) {
-                Ok(change) => Some(change),
-                Err(_) => return,
-            },
-        };
-        let data: &[u8] = change.as_ref().map_or(&entry.data, |c| c.get_context());
-        if data.is_empty() {
-            // A new leader's first entry; or the second half of a change, which the crate proposes by itself.
-            if let Some(change) = change.filter(|c| c.get_changes().is_empty()) {
-                if !self.node.store().conf.get_voters_outgoing().is_empty() {
-                    self.change_voters(&change);
-                }
-            }
-            return;
-        }
-        // Every member reads the same bytes: what one can't read none can.
-        let Ok((proposal, command)) = command::decode(data) else { return };
-        let (mut outcome, next) = self.roster.after(entry.index, &command);
-        if let Some(next) = next {
-            // Worked out by the leader when it proposed: another entry may have come between.
-            let wanted = changes(&self.roster, &next);
-            let given = change.as_ref().map_or(&[][..], |c| c.get_changes());
-            if wanted != given {
-                outcome = Outcome::Refused(Refusal::Stale(entry.index));
-            } else {
-                if let Some(change) = change {
-                    self.change_voters(&change);
-                    // Whoever is new can't use a snapshot that does not name it.
-                    self.wants = true;
-                }
-                self.roster = next;
-                self.name_voters();
-            }
-        }
-        self.acts.push(LogAct::Applied { index: entry.index, proposal, command, outcome });
-    }
-
-    fn change_voters(&mut self, change: &ConfChangeV2) {
-        match self.node.apply_conf_change(change) {
-            Ok(conf) => self.node.mut_store().conf = conf,
-            Err(e) => self.stop(&format!("a change of voters: {e}")),
-        }
-    }
-
     fn stop(&mut self, why: &str) {
         self.stopped = Some(why.to_string());
         self.leads = false;
@@ -455,22 +399,3 @@
 fn hard(hs: &HardState) -> Hard {
     Hard { term: hs.term, vote: hs.vote, commit: hs.commit }
 }
-
-/// What makes the voters of one roster those of the next, in the order of their numbers.
-fn changes(old: &Roster, new: &Roster) -> Vec<ConfChangeSingle> {
-    let roles = |roster: &Roster| -> BTreeMap<u64, ConfChangeType> {
-        let (voters, learners) = roster.voters();
-        let voters = voters.into_iter().map(|id| (id, ConfChangeType::AddNode));
-        voters.chain(learners.into_iter().map(|id| (id, ConfChangeType::AddLearnerNode))).collect()
-    };
-    let (old, new) = (roles(old), roles(new));
-    let added = new.iter().filter(|(id, role)| old.get(id) != Some(role)).map(|(id, role)| (*id, *role));
-    let gone = old.keys().filter(|id| !new.contains_key(id)).map(|id| (*id, ConfChangeType::RemoveNode));
-    let single = |(id, kind)| {
-        let mut change = ConfChangeSingle::default();
-        change.node_id = id;
-        change.set_change_type(kind);
-        change
-    };
-    added.chain(gone).map(single).collect()
-}
--- a/src/fleet/log/roster.rs
+++ b/src/fleet/log/roster.rs
@@ -91,7 +91,8 @@
     pub fn founded(epoch: u64, seats: Vec<Seat>) -> Result<Roster, Refusal> {
         let members: Vec<Member> = seats.iter().map(|s| s.member.clone()).collect();
         let config = Configuration::new(epoch, members).map_err(|e| Refusal::Invalid(e.to_string()))?;
-        let voters: Vec<Rc<str>> = config.group(b"log", MOST_VOTERS).iter().map(|m| m.id.name.clone()).collect();
+        let voters: Vec<Rc<str>> =
+            config.group(b"log", MOST_VOTERS).iter().map(|m| m.id.name.clone()).collect();
         let mut roster = Roster::default();
         for seat in seats {
             let name = seat.member.id.name.clone();
--- a/src/fleet/log/sim.rs
+++ b/src/fleet/log/sim.rs
@@ -52,7 +52,11 @@
 
 pub fn seat(n: usize, incarnation: u64, disk: u64) -> Seat {
     let id = MemberId::new(&format!("m{n}"), incarnation);
-    let member = Member { id, zone: format!("z{}", n % 3).as_str().into(), address: ([127, 0, 0, 1], n as u16 + 1).into() };
+    let member = Member {
+        id,
+        zone: format!("z{}", n % 3).as_str().into(),
+        address: ([127, 0, 0, 1], n as u16 + 1).into(),
+    };
     Seat { member, disk }
 }
 
@@ -86,7 +90,7 @@
     }
 
     pub fn chance(&mut self, of: u64) -> bool {
-        self.rng.next_u64() % of == 0
+        self.rng.next_u64().is_multiple_of(of)
     }
 
     pub fn pick(&mut self, below: usize) -> usize {
@@ -151,7 +155,9 @@
             }
         }
         let listed = roster.voters().0.contains(&id);
-        self.break_if(log_leads(&self.nodes[i]) && !listed && self.without == Without::Nothing, || "led by no voter".into());
+        self.break_if(log_leads(&self.nodes[i]) && !listed && self.without == Without::Nothing, || {
+            "led by no voter".into()
+        });
         self.break_if(wrong.is_some(), || wrong.unwrap_or_default());
     }
 
@@ -180,7 +186,9 @@
                 let sum = mix(sum ^ fnv(&bytes) ^ index);
                 self.nodes[i].state = (index, sum);
                 let known = self.ledger.entry(index).or_insert((bytes.clone(), sum)).clone();
-                self.break_if(known != (bytes.clone(), sum), || format!("two commands, or orders, at {index}"));
+                self.break_if(known != (bytes.clone(), sum), || {
+                    format!("two commands, or orders, at {index}")
+                });
                 if proposal.by == voter(&self.nodes[i].seat.member.id.name, self.nodes[i].seat.disk) {
                     self.acknowledged.insert(index, bytes);
                 }
@@ -199,7 +207,9 @@
 
     pub fn leader(&self) -> Option<usize> {
         let term = |n: &Node| n.log.as_ref().filter(|l| l.leads()).map(Log::term);
-        (0..self.nodes.len()).filter(|i| term(&self.nodes[*i]).is_some()).max_by_key(|i| term(&self.nodes[*i]))
+        (0..self.nodes.len())
+            .filter(|i| term(&self.nodes[*i]).is_some())
+            .max_by_key(|i| term(&self.nodes[*i]))
     }
 
     pub fn propose(&mut self, at: usize, command: &Command) -> Result<ProposalId, ProposeError> {
@@ -240,10 +250,12 @@
             self.act(i, false);
         }
         // Whoever runs and does not count asks to be admitted.
-        if let Some(at) = self.leader().filter(|_| self.now % 5 == 0) {
+        if let Some(at) = self.leader().filter(|_| self.now.is_multiple_of(5)) {
             let log = self.nodes[at].log.as_ref().expect("a log");
-            let (base, closes) = (log.roster().newest().map_or(0, Configuration::epoch), log.roster().epochs().count() > 4);
-            let missing = self.nodes.iter().find(|n| n.log.is_some() && !log.roster().seats().any(|s| *s == n.seat));
+            let (base, closes) =
+                (log.roster().newest().map_or(0, Configuration::epoch), log.roster().epochs().count() > 4);
+            let missing =
+                self.nodes.iter().find(|n| n.log.is_some() && !log.roster().seats().any(|s| *s == n.seat));
             let admit = missing.map(|n| Command::Admit { seat: n.seat.clone(), base });
             if let Some(admit) = admit {
                 let _ = self.propose(at, &admit);
@@ -324,7 +336,7 @@
             if let Some(at) = self.leader().filter(|at| counted(&self, *at)) {
                 let first = self.nodes[at].log.as_ref().expect("a log").applied();
                 let same = self.nodes.iter().all(|n| n.log.as_ref().is_some_and(|l| l.applied() == first));
-                if same && self.now % 7 == 0 {
+                if same && self.now.is_multiple_of(7) {
                     break;
                 }
             }
@@ -334,7 +346,11 @@
         }
         let states: Vec<_> = self.nodes.iter().map(|n| n.state).collect();
         if states.iter().any(|s| s.1 != states[0].1) {
-            let at: Vec<_> = self.nodes.iter().map(|n| n.log.as_ref().map(|l| (l.applied(), l.term(), l.leads()))).collect();
+            let at: Vec<_> = self
+                .nodes
+                .iter()
+                .map(|n| n.log.as_ref().map(|l| (l.applied(), l.term(), l.leads())))
+                .collect();
             return Err(format!("seed {seed}: no rest, {states:?} {at:?} {:?}", self.refused.last()));
         }
         for (index, bytes) in &self.acknowledged {
--- a/src/fleet/log/stored.rs
+++ b/src/fleet/log/stored.rs
@@ -1,6 +1,6 @@
 //! What a voter has on its disk, and what one step adds to it. Plain bytes: whoever keeps them needs not know the log.
-use protobuf::Message as _;
 use prost::Message as _;
+use protobuf::Message as _;
 use raft::eraftpb::{ConfState, Entry, Snapshot};
 
 use super::command::{FormError, Seat};
--- a/src/fleet/log/tests.rs
+++ b/src/fleet/log/tests.rs
@@ -11,7 +11,8 @@
     let cores = 8;
     let play = |core: u64| {
         let mine = seeds.clone().filter(move |s| s % cores == core);
-        mine.map(|s| Sim::play(n, s, without).map(|sim| (sim.acknowledged.len(), sim.leaders))).collect::<Vec<_>>()
+        mine.map(|s| Sim::play(n, s, without).map(|sim| (sim.acknowledged.len(), sim.leaders)))
+            .collect::<Vec<_>>()
     };
     std::thread::scope(|scope| {
         let threads: Vec<_> = (0..cores).map(|core| scope.spawn(move || play(core))).collect();
@@ -24,7 +25,13 @@
     for n in [3, 5] {
         let ended = plays(n, 0..1000, Without::Nothing);
         let broken: Vec<_> = ended.iter().filter_map(|e| e.as_ref().err()).collect();
-        assert!(broken.is_empty(), "{} of {}: {:?}", broken.len(), ended.len(), &broken[..broken.len().min(5)]);
+        assert!(
+            broken.is_empty(),
+            "{} of {}: {:?}",
+            broken.len(),
+            ended.len(),
+            &broken[..broken.len().min(5)]
+        );
         let sum = |f: fn(&(usize, u64)) -> u64| ended.iter().flatten().map(f).sum::<u64>();
         let (acknowledged, leaders) = (sum(|e| e.0 as u64), sum(|e| e.1));
         println!("{n} voters: {acknowledged} acknowledged, {leaders} leaders");
@@ -37,7 +44,8 @@
     for without in [Without::PersistFirst, Without::NewVoter] {
         let broken: Vec<_> = plays(3, 0..1000, without).into_iter().filter_map(Result::err).collect();
         println!("{without:?}: {} of 1000, {:?}", broken.len(), broken.first());
-        let order = |e: &&String| e.contains("two commands") || e.contains("lost") || e.contains("another state");
+        let order =
+            |e: &&String| e.contains("two commands") || e.contains("lost") || e.contains("another state");
         assert!(broken.iter().filter(order).count() > 0, "{without:?}: {:?}", broken.first());
     }
 }
@@ -60,15 +68,20 @@
     }
     (0..10).for_each(|_| sim.step());
     let log = sim.nodes[at].log.take().expect("a log");
-    let (cluster, id) = (log.cluster(), voter(&log.identity().name, log.identity().disk));
+    let (me, cluster) = log.identity();
+    let id = voter(&me.name, me.disk);
     let other = (at + 1) % 3;
     let (name, from) = (format!("m{other}"), sim.nodes[other].seat.voter());
     let stored = sim.nodes[at].disk.clone();
-    let fresh = || Log::new(log.identity().clone(), stored.clone(), Limits::default()).expect("a log");
+    let fresh = || Log::new(me.clone(), stored.clone(), Limits::default()).expect("a log");
     let (_, last, _) = log.held();
     let wild = |sim: &mut Sim| {
         let near = [0, 1, 2, last - 1, last, last + 1, last + 9, u64::MAX][sim.pick(8)];
-        if sim.chance(50) { sim.rng.next_u64() } else { near }
+        if sim.chance(50) {
+            sim.rng.next_u64()
+        } else {
+            near
+        }
     };
     let kinds = [
         MessageType::MsgAppend,
@@ -97,7 +110,8 @@
         }
         let mut m = Message::default();
         m.set_msg_type(kinds[sim.pick(kinds.len())]);
-        (m.from, m.to) = (if sim.chance(30) { wild(&mut sim) } else { from }, if sim.chance(30) { 5 } else { id });
+        (m.from, m.to) =
+            (if sim.chance(30) { wild(&mut sim) } else { from }, if sim.chance(30) { 5 } else { id });
         m.term = if sim.chance(2) { held.term() } else { wild(&mut sim) };
         (m.index, m.log_term, m.commit) = (wild(&mut sim), wild(&mut sim), wild(&mut sim));
         (m.commit_term, m.reject_hint) = (wild(&mut sim), wild(&mut sim));
@@ -114,7 +128,8 @@
         if m.get_msg_type() == MessageType::MsgSnapshot {
             m.mut_snapshot().mut_metadata().index = wild(&mut sim);
             m.mut_snapshot().mut_metadata().term = wild(&mut sim);
-            let ids: Vec<u64> = (0..sim.pick(4)).map(|_| if sim.chance(2) { id } else { wild(&mut sim) }).collect();
+            let ids: Vec<u64> =
+                (0..sim.pick(4)).map(|_| if sim.chance(2) { id } else { wild(&mut sim) }).collect();
             let conf = m.mut_snapshot().mut_metadata().mut_conf_state();
             conf.set_voters(ids.clone());
             conf.set_learners(ids.into_iter().skip(1).collect());
@@ -227,11 +242,16 @@
     let rounds = 200;
     for round in 0..rounds {
         for i in 0..10u32 {
-            let _ = sim.propose(at, &Command::Plan([round, i].map(u32::to_be_bytes).concat().as_slice().into()));
+            let _ =
+                sim.propose(at, &Command::Plan([round, i].map(u32::to_be_bytes).concat().as_slice().into()));
         }
         sim.step();
     }
     let each = started.elapsed().as_secs_f64() / f64::from(rounds * 10);
-    println!("{:.0} entries a second, 3 voters in one thread, {} acknowledged", 1.0 / each, sim.acknowledged.len());
+    println!(
+        "{:.0} entries a second, 3 voters in one thread, {} acknowledged",
+        1.0 / each,
+        sim.acknowledged.len()
+    );
     assert!(sim.acknowledged.len() > 1900);
 }
--- a/src/net/fleet/store.rs
+++ b/src/net/fleet/store.rs
@@ -127,14 +127,16 @@
 impl Head {
     fn encode(&self) -> Vec<u8> {
         let Head { serial, disk, cluster, hard, entries, last, snapshot } = *self;
-        let all = [serial, disk, cluster, hard.term, hard.vote, hard.commit, entries, last, u64::from(snapshot)];
+        let all =
+            [serial, disk, cluster, hard.term, hard.vote, hard.commit, entries, last, u64::from(snapshot)];
         all.iter().flat_map(|n| n.to_be_bytes()).collect()
     }
 
     fn decode(bytes: &[u8]) -> Result<Head, StoreError> {
         let (numbers, rest) = bytes.as_chunks::<8>();
         let numbers: Vec<u64> = numbers.iter().map(|n| u64::from_be_bytes(*n)).collect();
-        let ([serial, disk, cluster, term, vote, commit, entries, last, snapshot], []) = (&numbers[..], rest) else {
+        let ([serial, disk, cluster, term, vote, commit, entries, last, snapshot], []) = (&numbers[..], rest)
+        else {
             return Err(StoreError::Spoilt("the head's length".into()));
         };
         Ok(Head {
--- a/src/net/fleet/store_tests.rs
+++ b/src/net/fleet/store_tests.rs
@@ -77,25 +77,30 @@
 fn a_spoilt_file_never_forgets_a_vote() {
     let dir = Dir::new("spoilt");
     let path = dir.file("a.redb");
-    drop(filled(&path, 40));
-    let (good, mark) = (std::fs::read(&path).expect("a file"), std::fs::read(mark_path(&path)).expect("a mark"));
-    let used: Vec<usize> = (0..good.len()).filter(|i| good[*i] != 0).collect();
+    let store = filled(&path, 40);
+    // As it is when the process ends at once, and as it is when the file was closed.
+    let killed = std::fs::read(&path).expect("a file");
+    drop(store);
+    let (closed, mark) =
+        (std::fs::read(&path).expect("a file"), std::fs::read(mark_path(&path)).expect("a mark"));
+    let used: Vec<usize> = (0..closed.len().min(killed.len())).filter(|i| closed[*i] != 0).collect();
     let whole = after(40);
     let outcomes = std::thread::scope(|scope| {
-        let (dir, good, mark, used, whole) = (&dir, &good, &mark, &used, &whole);
+        let (dir, killed, closed, mark, used, whole) = (&dir, &killed, &closed, &mark, &used, &whole);
         let one = move |core: u64| {
             let mut rng = Pcg64Mcg::seed_from_u64(core);
             let mut pick = move |below: usize| (rng.next_u64() % below.max(1) as u64) as usize;
             let path = dir.file(&format!("{core}.redb"));
             let (mut kept, mut back, mut refused) = (0, 0, 0);
             for round in 0..300 {
-                let mut bytes = good.clone();
-                match round % 4 {
-                    0 => bytes.truncate(pick(good.len())),
+                let mut bytes = if round % 2 == 0 { killed.clone() } else { closed.clone() };
+                let size = bytes.len();
+                match round / 2 % 4 {
+                    0 => bytes.truncate(pick(size)),
                     // The head of the file, where the commits are told apart; bytes in use; any.
                     1 => bytes[pick(400)] ^= 1 << pick(8),
                     2 => bytes[used[pick(used.len())]] ^= 1 << pick(8),
-                    _ => bytes[pick(good.len())] ^= 1 << pick(8),
+                    _ => bytes[pick(size)] ^= 1 << pick(8),
                 }
                 std::fs::write(&path, &bytes).expect("written");
                 std::fs::write(mark_path(&path), mark).expect("written");
