--- a/src/fleet/found.rs
+++ b/src/fleet/found.rs
@@ -186,9 +186,9 @@
         self.say();
     }
 
-    /// What another member said of itself, in the order in which one life said it; the incarnations of a name rise with
-    /// each start. Whoever is not in the file is not asked; a founded one is heeded whoever it
-    /// is, for members join later.
+    /// What another member said of itself. What one life says comes in order (the same connection, or none of an earlier
+    /// one after it); what an earlier life said may come at any time. The incarnations of a name rise with each start.
+    /// Whoever is not in the file is not asked; a founded one is heeded whoever it is, for members join later.
     pub fn hear(&mut self, say: Say) {
         let name = say.seat.member.id.name.clone();
         let later = |held: &Say| held.seat.member.id.incarnation > say.seat.member.id.incarnation;
--- a/src/fleet/log/node.rs
+++ b/src/fleet/log/node.rs
@@ -272,7 +272,7 @@
         memory.drop_before(keep + 1);
         // The entry before the first one stays on disk, so that its term is known after a restart.
         let first = memory.base.0;
-        let batch = Batch { hard: hard(&memory.hard), snapshot: Some(bytes), first, ..Batch::default() };
+        let batch = Batch { hard: (&memory.hard).into(), snapshot: Some(bytes), first, ..Batch::default() };
         self.wants = false;
         self.acts.push(LogAct::Persist(batch));
         Ok(())
@@ -337,7 +337,7 @@
             self.node.mut_store().hard = hs.clone();
         }
         if write {
-            batch.hard = hard(&self.node.store().hard);
+            batch.hard = (&self.node.store().hard).into();
             self.acts.push(LogAct::Persist(batch));
         }
         self.acts.extend(restored);
@@ -395,7 +395,3 @@
         raft.set_randomized_election_timeout((election + drawn % election) as usize);
     }
 }
-
-fn hard(hs: &HardState) -> Hard {
-    Hard { term: hs.term, vote: hs.vote, commit: hs.commit }
-}
--- a/src/fleet/log/stored.rs
+++ b/src/fleet/log/stored.rs
@@ -1,7 +1,7 @@
 //! What a voter has on its disk, and what one step adds to it. Plain bytes: whoever keeps them needs not know the log.
 use prost::Message as _;
 use protobuf::Message as _;
-use raft::eraftpb::{ConfState, Entry, Snapshot};
+use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 
 use super::command::{FormError, Seat};
 use super::roster::{Kept, Refusal, Roster};
@@ -15,6 +15,12 @@
     pub commit: u64,
 }
 
+impl From<&HardState> for Hard {
+    fn from(hs: &HardState) -> Hard {
+        Hard { term: hs.term, vote: hs.vote, commit: hs.commit }
+    }
+}
+
 /// What is to be made durable at once: all of it or nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
