--- /dev/null
+++ b/src/fleet/found.rs
@@ -0,0 +1,295 @@
+//! Founding: who are the first members? Those of the operator's file, once all of them are heard and none has been told
+//! of a cluster. Pure: what is heard comes in, what is to be kept and done goes out.
+//!
+//! Each member pins the set of names, lives and disks that it sees, on its disk, before it says so. A set is founded when
+//! all of its members were heard to have pinned it.
+//!
+//! Invariant: no two clusters of one file can both decide anything. A set is founded only with every member of it, so
+//! two founded sets both hold a pin of each member whose disk is in both. A pin gives way to another set only while no
+//! majority of the old set can have gone on: this member, and others that with it are a majority of the disks of the
+//! old set, say with the same disks that they have not founded; and each that has pinned the later set refuses the
+//! earlier one from then on. It goes back only when a member of the later set says itself that it is founded
+//! elsewhere: then the later set never stands. Where most disks of a pinned set are gone nothing is decided here: the
+//! operator has to say so.
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+
+use prost::Message as _;
+
+use super::log::{fnv, form, mix, seat_in, seat_out, FormError, Seat, MOST_MEMBERS};
+
+/// How far a member is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Empty,
+    Pinned(Set),
+    /// It knows its cluster: it was founded with this set, or joined it later.
+    Founded(u64),
+}
+
+/// The members of a founding, in the order of their names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Set(Rc<[Seat]>);
+
+impl Set {
+    fn new(mut seats: Vec<Seat>) -> Set {
+        seats.sort_by(|a, b| a.member.id.cmp(&b.member.id));
+        Set(seats.into())
+    }
+
+    pub fn seats(&self) -> &[Seat] {
+        &self.0
+    }
+
+    /// The cluster's number: of its name and all its members with their lives and disks. Never 0.
+    pub fn cluster(&self, name: &str) -> u64 {
+        mix(fnv(name.as_bytes()) ^ mix(fnv(&self.encode()))).max(1)
+    }
+
+    fn holds(&self, name: &str, disk: u64) -> bool {
+        self.0.iter().any(|s| &*s.member.id.name == name && s.disk == disk)
+    }
+
+    /// For the disk.
+    pub fn encode(&self) -> Vec<u8> {
+        Seats { seats: self.0.iter().map(seat_out).collect() }.encode_to_vec()
+    }
+
+    pub fn decode(bytes: &[u8]) -> Result<Set, FormError> {
+        let seats = Seats::decode(bytes)?.seats;
+        if seats.len() > MOST_MEMBERS {
+            return Err(FormError::Undecodable(format!("{} members, {MOST_MEMBERS} at most", seats.len())));
+        }
+        Ok(Set::new(seats.into_iter().map(seat_in).collect::<Result<_, _>>()?))
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Seats {
+    #[prost(message, repeated, tag = "1")]
+    seats: Vec<form::Seat>,
+}
+
+/// What a member says of itself, on each connection and at each tick while it founds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Say {
+    pub seat: Seat,
+    pub stage: Stage,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct SayForm {
+    #[prost(message, optional, tag = "1")]
+    seat: Option<form::Seat>,
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pinned: Option<Vec<u8>>,
+    #[prost(fixed64, tag = "3")]
+    founded: u64,
+}
+
+impl Say {
+    pub fn encode(&self) -> Vec<u8> {
+        let (pinned, founded) = match &self.stage {
+            Stage::Empty => (None, 0),
+            Stage::Pinned(set) => (Some(set.encode()), 0),
+            Stage::Founded(cluster) => (None, *cluster),
+        };
+        SayForm { seat: Some(seat_out(&self.seat)), pinned, founded }.encode_to_vec()
+    }
+
+    /// The caller has bounded the bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Say, FormError> {
+        let said = SayForm::decode(bytes)?;
+        let seat = seat_in(said.seat.ok_or(FormError::Missing("a member"))?)?;
+        let stage = match (said.pinned, said.founded) {
+            (None, 0) => Stage::Empty,
+            (Some(set), 0) => Stage::Pinned(Set::decode(&set)?),
+            (None, cluster) => Stage::Founded(cluster),
+            _ => return Err(FormError::Undecodable("pinned and founded at once".into())),
+        };
+        Ok(Say { seat, stage })
+    }
+}
+
+/// To be done in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FoundAct {
+    /// Durable before anything is said.
+    Pin(Set),
+    /// To every member of the file, and again at each tick.
+    Say(Say),
+    /// All have pinned it: the log starts with [`super::log::Stored::founded`], durable first.
+    Founded { cluster: u64, set: Set },
+    /// A cluster stands without this life: the log starts with [`super::log::Stored::joining`], durable first, and this
+    /// member asks to be admitted.
+    Join { cluster: u64 },
+    /// Nothing more is done here before the operator looks; said once.
+    Stuck(Stuck),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stuck {
+    /// Most disks of the pinned set were replaced: it may have gone on without this member.
+    Lost(Vec<Rc<str>>),
+    /// A member of the file is in a cluster that this one is not of.
+    Foreign { name: Rc<str>, cluster: u64 },
+}
+
+impl fmt::Display for Stuck {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Stuck::Lost(names) => write!(
+                f,
+                "founding was broken off: most disks of it are gone ({}); remove the stores of the others to found anew",
+                names.join(", ")
+            ),
+            Stuck::Foreign { name, cluster } => write!(f, "'{name}' is of another cluster, {cluster:x}"),
+        }
+    }
+}
+
+pub struct Founding {
+    name: Rc<str>,
+    /// The names of the operator's file.
+    names: Vec<Rc<str>>,
+    me: Seat,
+    stage: Stage,
+    /// What each of them said last.
+    said: BTreeMap<Rc<str>, Say>,
+    stuck: Option<Stuck>,
+    acts: Vec<FoundAct>,
+}
+
+impl Founding {
+    /// `stage` is what the disk says. `name` is that of the cluster; `names` are those of the file, this one among them.
+    pub fn new(name: &str, names: &[Rc<str>], me: Seat, stage: Stage) -> Founding {
+        let mut founding = Founding {
+            name: name.into(),
+            names: names.to_vec(),
+            me,
+            stage,
+            said: BTreeMap::new(),
+            stuck: None,
+            acts: Vec::new(),
+        };
+        founding.say();
+        founding.look();
+        founding
+    }
+
+    pub fn stage(&self) -> &Stage {
+        &self.stage
+    }
+
+    pub fn tick(&mut self) {
+        self.say();
+    }
+
+    /// What another member said of itself. What one life says comes in order (the same connection, or none of an earlier
+    /// one after it); what an earlier life said may come at any time. The incarnations of a name rise with each start.
+    /// Whoever is not in the file is not asked; a founded one is heeded whoever it is, for members join later.
+    pub fn hear(&mut self, say: Say) {
+        let name = say.seat.member.id.name.clone();
+        let later = |held: &Say| held.seat.member.id.incarnation > say.seat.member.id.incarnation;
+        if name == self.me.member.id.name || self.said.get(&name).is_some_and(later) {
+            // An earlier life of that name, overtaken by the later one.
+            return;
+        }
+        if let Stage::Founded(cluster) = say.stage {
+            self.told(&name, say.seat.disk, cluster);
+        }
+        if self.names.contains(&name) {
+            self.said.insert(name, say);
+            self.look();
+        }
+    }
+
+    pub fn ready(&mut self) -> Vec<FoundAct> {
+        std::mem::take(&mut self.acts)
+    }
+
+    fn say(&mut self) {
+        let say = FoundAct::Say(Say { seat: self.me.clone(), stage: self.stage.clone() });
+        if !self.acts.contains(&say) {
+            self.acts.push(say);
+        }
+    }
+
+    fn told(&mut self, name: &Rc<str>, disk: u64, cluster: u64) {
+        match &self.stage {
+            Stage::Founded(own) if *own == cluster => {}
+            Stage::Founded(_) => self.stick(Stuck::Foreign { name: name.clone(), cluster }),
+            Stage::Pinned(set) if set.cluster(&self.name) == cluster => self.found(set.clone()),
+            // This set never stands any more: one that is of it, on the disk that it names, is of another cluster.
+            Stage::Pinned(set) if set.holds(name, disk) => self.join(cluster),
+            // The teller is a new disk of a name; those of the set are asked.
+            Stage::Pinned(_) => {}
+            Stage::Empty => self.join(cluster),
+        }
+    }
+
+    fn join(&mut self, cluster: u64) {
+        self.stage = Stage::Founded(cluster);
+        self.acts.push(FoundAct::Join { cluster });
+        self.say();
+    }
+
+    fn found(&mut self, set: Set) {
+        let cluster = set.cluster(&self.name);
+        self.stage = Stage::Founded(cluster);
+        self.acts.push(FoundAct::Founded { cluster, set });
+        self.say();
+    }
+
+    fn stick(&mut self, stuck: Stuck) {
+        if self.stuck.as_ref() != Some(&stuck) {
+            self.acts.push(FoundAct::Stuck(stuck.clone()));
+            self.stuck = Some(stuck);
+        }
+    }
+
+    fn look(&mut self) {
+        if matches!(self.stage, Stage::Founded(_)) {
+            return;
+        }
+        let own = self.me.member.id.name.clone();
+        let others: Vec<Rc<str>> = self.names.iter().filter(|n| **n != own).cloned().collect();
+        if !others.iter().all(|n| self.said.get(n).is_some_and(|s| !matches!(s.stage, Stage::Founded(_)))) {
+            return;
+        }
+        let mut seats: Vec<Seat> =
+            others.iter().filter_map(|n| self.said.get(n)).map(|s| s.seat.clone()).collect();
+        seats.push(self.me.clone());
+        let seen = Set::new(seats);
+        let pinned = match &self.stage {
+            Stage::Pinned(set) => Some(set.clone()),
+            _ => None,
+        };
+        if pinned.as_ref() != Some(&seen) {
+            if let Some(set) = pinned {
+                let gone: Vec<Rc<str>> = set
+                    .seats()
+                    .iter()
+                    .filter(|s| !seen.holds(&s.member.id.name, s.disk))
+                    .map(|s| s.member.id.name.clone())
+                    .collect();
+                if 2 * (set.seats().len() - gone.len()) <= set.seats().len() {
+                    return self.stick(Stuck::Lost(gone));
+                }
+            }
+            self.stage = Stage::Pinned(seen.clone());
+            self.acts.push(FoundAct::Pin(seen.clone()));
+            self.say();
+        }
+        let all =
+            others.iter().all(|n| self.said.get(n).is_some_and(|s| s.stage == Stage::Pinned(seen.clone())));
+        if all {
+            self.found(seen);
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "found_tests.rs"]
+mod tests;
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod frames;
 pub mod hold;
 mod link;
+pub mod store;
 
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
