--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,12 +4,14 @@
 //! Rumours make things fast, majorities make them safe: what is told of who is alive may choose whom to ask first, and
 //! nothing more.
 pub mod config;
+pub mod time;
 
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 pub use config::{ConfigError, Configuration};
+pub use time::FleetTime;
 
 /// Microseconds on a member's own monotonic clock: only differences count, and only on the member that read it.
 pub type Micros = u64;
--- /dev/null
+++ b/src/fleet/time.rs
@@ -0,0 +1,257 @@
+//! The fleet's time: hybrid logical clocks with a stated bound on their offset.
+//!
+//! Source: Kulkarni, Demirbas, Madappa, Avva, Leone, "Logical Physical Clocks" (OPODIS 2014). A stamp is the largest
+//! wall time that was seen and a counter within it: it orders what one caused in the other, and stays within the bound
+//! of the wall clock.
+//!
+//! Invariants: a [`Clock`] gives each stamp once and always a later one; it never runs ahead of its own wall clock by
+//! more than the bound, since what is further ahead is refused and not taken over. No rule of safety rests on the
+//! bound: it keeps one member's clock from carrying all the others' away.
+use std::collections::BTreeMap;
+use std::fmt;
+
+use super::{MemberId, Micros};
+
+/// How far two members' clocks may be apart, in ms, unless the settings say otherwise. NTP within one site keeps
+/// clocks within some ms; a quarter of a second is far outside that and small against a layout's life.
+pub const BOUND_MS: u64 = 250;
+
+/// Members whose clocks are remembered at most; the largest fleet that is planned for has a thousand.
+const MOST_MEMBERS: usize = 4096;
+
+/// A point in the fleet's time: Unix ms, and a counter for what happens within one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FleetTime {
+    pub ms: u64,
+    pub logical: u32,
+}
+
+impl FleetTime {
+    pub const ZERO: FleetTime = FleetTime { ms: 0, logical: 0 };
+    pub const MAX: FleetTime = FleetTime { ms: u64::MAX, logical: u32::MAX };
+
+    pub fn new(ms: u64, logical: u32) -> FleetTime {
+        FleetTime { ms, logical }
+    }
+
+    /// The first point of a millisecond.
+    pub fn from_ms(ms: u64) -> FleetTime {
+        FleetTime { ms, logical: 0 }
+    }
+
+    /// The next point; the last one has none and stays.
+    pub fn next(self) -> FleetTime {
+        match (self.logical.checked_add(1), self.ms.checked_add(1)) {
+            (Some(logical), _) => FleetTime { ms: self.ms, logical },
+            (None, Some(ms)) => FleetTime::from_ms(ms),
+            (None, None) => FleetTime::MAX,
+        }
+    }
+
+    /// The point before; the first one has none and stays.
+    pub fn prev(self) -> FleetTime {
+        match (self.logical.checked_sub(1), self.ms.checked_sub(1)) {
+            (Some(logical), _) => FleetTime { ms: self.ms, logical },
+            (None, Some(ms)) => FleetTime { ms, logical: u32::MAX },
+            (None, None) => FleetTime::ZERO,
+        }
+    }
+
+    /// So many ms earlier, at the first point of that millisecond.
+    pub fn less_ms(self, ms: u64) -> FleetTime {
+        FleetTime::from_ms(self.ms.saturating_sub(ms))
+    }
+
+    /// So many ms later.
+    pub fn plus_ms(self, ms: u64) -> FleetTime {
+        FleetTime { ms: self.ms.saturating_add(ms), logical: self.logical }
+    }
+}
+
+impl fmt::Display for FleetTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.ms, self.logical)
+    }
+}
+
+/// A stamp that runs ahead of this member's wall clock by more than the bound; it was not taken over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Beyond {
+    pub ahead_ms: u64,
+    pub bound_ms: u64,
+}
+
+impl fmt::Display for Beyond {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "time is {} ms ahead of ours, more than the bound of {} ms", self.ahead_ms, self.bound_ms)
+    }
+}
+
+impl std::error::Error for Beyond {}
+
+/// A member's hybrid logical clock. Wall time comes in with each call and may step either way.
+#[derive(Clone, Debug)]
+pub struct Clock {
+    bound_ms: u64,
+    last: FleetTime,
+}
+
+impl Clock {
+    pub fn new(bound_ms: u64) -> Clock {
+        Clock { bound_ms, last: FleetTime::ZERO }
+    }
+
+    /// A new stamp, later than all that were given or taken over.
+    pub fn now(&mut self, unix_ms: u64) -> FleetTime {
+        self.last = self.last.next().max(FleetTime::from_ms(unix_ms));
+        self.last
+    }
+
+    /// What [`Clock::now`] would not fall below; stamps nothing.
+    pub fn read(&self, unix_ms: u64) -> FleetTime {
+        self.last.max(FleetTime::from_ms(unix_ms))
+    }
+
+    /// A stamp came in. One beyond the bound is refused, and its message with it.
+    pub fn observe(&mut self, unix_ms: u64, theirs: FleetTime) -> Result<FleetTime, Beyond> {
+        let ahead_ms = theirs.ms.saturating_sub(unix_ms);
+        if ahead_ms > self.bound_ms {
+            return Err(Beyond { ahead_ms, bound_ms: self.bound_ms });
+        }
+        self.last = self.last.max(theirs);
+        Ok(self.now(unix_ms))
+    }
+}
+
+/// What a member holds of its own clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No majority of the others was measured yet.
+    Unknown,
+    /// No majority of the others is certainly beyond the bound.
+    Within,
+    /// A majority of the others is: this member withdraws from reads in the past, and says so. How far the middle
+    /// one of them is ahead of us, in ms.
+    Beyond { ahead_ms: i64 },
+}
+
+/// One exchange with another member: its wall clock less our monotonic one lies between the two.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    low: i128,
+    high: i128,
+    at: Micros,
+}
+
+/// How the others' clocks stand to ours, by request and answer (Cristian, "Probabilistic clock synchronization", 1989).
+///
+/// Samples are kept against our monotonic clock, so that a step of our own wall clock shows at once, also while we
+/// are cut off; with age they widen by the drift of both. What is not certainly beyond counts as within.
+#[derive(Clone, Debug)]
+pub struct Offsets {
+    bound_ms: u64,
+    drift: f64,
+    samples: BTreeMap<MemberId, Sample>,
+}
+
+impl Offsets {
+    /// `drift` is that of one clock, as a share of the time that passes.
+    pub fn new(bound_ms: u64, drift: f64) -> Offsets {
+        Offsets { bound_ms, drift: drift.clamp(0.0, 1.0), samples: BTreeMap::new() }
+    }
+
+    /// `member` said `theirs_ms` in answer to what we sent at `sent`; the answer came at `got`. An answer from before
+    /// its question is none.
+    pub fn measured(&mut self, member: &MemberId, sent: Micros, got: Micros, theirs_ms: u64) {
+        let full = self.samples.len() >= MOST_MEMBERS && !self.samples.contains_key(member);
+        if got < sent || full {
+            return;
+        }
+        // Told in whole ms: up to one more may have passed there.
+        let theirs = i128::from(theirs_ms) * 1000;
+        let sample =
+            Sample { low: theirs - i128::from(got), high: theirs + 1000 - i128::from(sent), at: got };
+        self.samples.insert(member.clone(), sample);
+    }
+
+    /// Forget who counts no more.
+    pub fn keep(&mut self, counts: impl Fn(&MemberId) -> bool) {
+        self.samples.retain(|member, _| counts(member));
+    }
+
+    /// How we stand against `others` members that count beside us.
+    pub fn standing(&self, now: Micros, unix_ms: u64, others: usize) -> Standing {
+        if self.samples.len() * 2 <= others {
+            return Standing::Unknown;
+        }
+        let bound = i128::from(self.bound_ms) * 1000;
+        let ours = i128::from(unix_ms) * 1000 - i128::from(now);
+        let mut beyond: Vec<i128> = Vec::new();
+        for sample in self.samples.values() {
+            let wider = (now.saturating_sub(sample.at) as f64 * self.drift * 2.0) as i128;
+            // We read whole ms too.
+            let (low, high) = (sample.low - ours - 1000 - wider, sample.high - ours + wider);
+            if low > bound || high < -bound {
+                beyond.push((low + high) / 2);
+            }
+        }
+        beyond.sort();
+        match beyond.get(beyond.len() / 2).filter(|_| beyond.len() * 2 > others) {
+            Some(middle) => Standing::Beyond { ahead_ms: i64::try_from(middle / 1000).unwrap_or(i64::MAX) },
+            None => Standing::Within,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn stamps_rise_while_the_wall_clock_steps_back_and_the_counter_runs_over() {
+        let mut clock = Clock::new(BOUND_MS);
+        let first = clock.now(1000);
+        assert!(clock.now(400) > first);
+        clock.last.logical = u32::MAX;
+        let before = clock.last;
+        assert_eq!(clock.now(400), FleetTime::from_ms(before.ms + 1));
+        assert_eq!(FleetTime::from_ms(5).prev().next(), FleetTime::from_ms(5));
+        assert_eq!((FleetTime::ZERO.prev(), FleetTime::MAX.next()), (FleetTime::ZERO, FleetTime::MAX));
+    }
+
+    #[test]
+    fn a_stamp_beyond_the_bound_is_refused_and_carries_no_clock_away() {
+        let mut clock = Clock::new(250);
+        let near = FleetTime::new(1250, 7);
+        assert!(clock.observe(1000, near).expect("within the bound") > near);
+        let far = clock.observe(1000, FleetTime::from_ms(1251));
+        assert_eq!(far, Err(Beyond { ahead_ms: 251, bound_ms: 250 }));
+        assert_eq!(clock.now(1000).ms, 1250);
+    }
+
+    #[test]
+    fn a_member_beyond_the_bound_of_a_majority_finds_out_and_comes_back() {
+        let mut offsets = Offsets::new(250, 0.0001);
+        let member = |n: u64| MemberId::new("m", n);
+        assert_eq!(offsets.standing(0, 10_000, 4), Standing::Unknown);
+        for n in 0..4 {
+            // Two of four others run 300 ms ahead: no majority.
+            let theirs = if n < 2 { 10_310 } else { 10_010 };
+            offsets.measured(&member(n), 0, 20_000, theirs);
+        }
+        assert_eq!(offsets.standing(20_000, 10_020, 4), Standing::Within);
+        // Our own wall clock steps back, while nobody can be asked.
+        let Standing::Beyond { ahead_ms } = offsets.standing(30_000, 9_030, 4) else {
+            panic!("a step unseen")
+        };
+        assert!((980..1320).contains(&ahead_ms), "{ahead_ms}");
+        assert_eq!(offsets.standing(40_000, 10_040, 4), Standing::Within);
+        // An old sample says less: 300 ms are not certain after 1,000 s at this drift, and an answer that took long
+        // never was.
+        offsets.measured(&member(2), 0, 20_000, 10_310);
+        assert!(matches!(offsets.standing(20_000, 10_020, 4), Standing::Beyond { .. }));
+        assert_eq!(offsets.standing(1_000_020_000, 1_010_020, 4), Standing::Within);
+        offsets.measured(&member(2), 0, 900_000, 10_310);
+        assert_eq!(offsets.standing(900_000, 10_900, 4), Standing::Within);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod core;
 pub mod fleet;
 pub mod interface;
+pub mod layout;
 pub mod net;
 pub mod operator;
 pub mod pool;
--- /dev/null
+++ b/tests/layout/reference.rs
@@ -0,0 +1,230 @@
+//! The plain model: each version a full copy, ground as atoms, and for each atom who keeps which span of its history.
+use std::collections::{BTreeMap, BTreeSet};
+
+use marlgap::fleet::FleetTime;
+use marlgap::interface::ReplicaId;
+use marlgap::layout::{Change, District, Edit, Entry, History, Layouts, Limits, Piece, TileId, Weight};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub type Atoms = BTreeSet<u32>;
+
+pub const ATOMS: u32 = 24;
+
+/// Ninths, so that weights are no whole numbers.
+pub fn weight(atoms: &Atoms) -> Weight {
+    Weight::new(atoms.len() as u64, 9)
+}
+
+pub fn ms(ms: u64) -> FleetTime {
+    FleetTime::from_ms(ms)
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Copy {
+    pub valid: FleetTime,
+    pub tiles: BTreeMap<TileId, (Atoms, District)>,
+    pub names: BTreeMap<District, String>,
+    pub keeps: BTreeMap<u32, Vec<(ReplicaId, FleetTime, Option<FleetTime>)>>,
+}
+
+impl Copy {
+    /// New servers serve ground; what its old ones leave.
+    fn serve(&mut self, atoms: &Atoms, reach: FleetTime, servers: &[ReplicaId], history: History) {
+        for atom in atoms {
+            let keeps = self.keeps.entry(*atom).or_default();
+            for keep in keeps.iter_mut().filter(|k| k.2.is_none()) {
+                keep.2 = Some(if history == History::Moves { keep.1 } else { self.valid });
+            }
+            let from = if history == History::Stays { self.valid } else { reach };
+            keeps.extend(servers.iter().map(|s| (*s, from, None)));
+        }
+    }
+
+    fn reach(&self, atoms: &Atoms) -> FleetTime {
+        let open = atoms.iter().flat_map(|a| self.keeps.get(a)).flatten().filter(|k| k.2.is_none());
+        open.map(|k| k.1).min().unwrap_or(self.valid)
+    }
+
+    pub fn holds(&self, server: ReplicaId, atom: u32, at: Option<FleetTime>) -> bool {
+        let covers = |from: FleetTime, until: Option<FleetTime>| match at {
+            Some(at) => from <= at && until.is_none_or(|u| at < u),
+            None => until.is_none(),
+        };
+        self.keeps[&atom].iter().any(|(s, from, until)| *s == server && covers(*from, *until))
+    }
+}
+
+/// A history of changes, as the state machine and as copies.
+pub struct World {
+    pub rng: Pcg64Mcg,
+    pub layouts: Layouts,
+    pub copies: Vec<Copy>,
+    /// What each tile was ever made of.
+    pub ever: BTreeMap<TileId, Atoms>,
+    pub log: Vec<Entry>,
+    pub merges: bool,
+    next: TileId,
+}
+
+impl World {
+    pub fn new(seed: u64, merges: bool) -> World {
+        World {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            layouts: Layouts::new(Limits::default()),
+            copies: vec![Copy::default()],
+            ever: BTreeMap::new(),
+            log: Vec::new(),
+            merges,
+            next: 0,
+        }
+    }
+
+    pub fn pick(&mut self, n: usize) -> usize {
+        (self.rng.next_u64() % n.max(1) as u64) as usize
+    }
+
+    fn servers(&mut self) -> Vec<ReplicaId> {
+        let first = self.pick(6) as u64;
+        (0..1 + self.pick(2) as u64).map(|n| ReplicaId((first + n) % 6)).collect()
+    }
+
+    fn history(&mut self) -> History {
+        [History::Moves, History::Stays, History::Both][self.pick(3)]
+    }
+
+    fn new_tile(&mut self, atoms: Atoms) -> TileId {
+        self.next += 1;
+        self.ever.insert(self.next, atoms);
+        self.next
+    }
+
+    /// Apply an entry at the log's next place; an error is told with it.
+    pub fn append(&mut self, entry: Entry) -> Result<(), String> {
+        let index = self.log.len() as u64 + 1;
+        self.log.push(entry);
+        let done = self.layouts.apply(index, &self.log[self.log.len() - 1]);
+        done.map(|_| ()).map_err(|e| e.to_string())
+    }
+
+    pub fn change(&mut self, valid: FleetTime, edits: Vec<Edit>) -> Entry {
+        let (base, lease) = (self.layouts.newest().number, self.layouts.lease().number);
+        Entry::Change(Change { base, lease, valid, ground: None, edits })
+    }
+
+    /// The ground comes into being, in six tiles of two districts.
+    pub fn found(&mut self) {
+        let mut copy = Copy { valid: ms(10), ..Copy::default() };
+        let mut edits = Vec::new();
+        for n in 0..6 {
+            let atoms: Atoms = (n * ATOMS / 6..(n + 1) * ATOMS / 6).collect();
+            let (tile, district, servers) = (self.new_tile(atoms.clone()), District(n % 2), self.servers());
+            edits.push(Edit::Add { tile, weight: weight(&atoms), district, servers: servers.clone() });
+            copy.serve(&atoms, ms(10), &servers, History::Stays);
+            copy.tiles.insert(tile, (atoms, district));
+        }
+        for n in 0..2 {
+            edits.push(Edit::Name { district: District(n), name: format!("d{n}").into() });
+            copy.names.insert(District(n), format!("d{n}"));
+        }
+        self.copies.push(copy);
+        let change = self.change(ms(10), edits);
+        self.append(change).expect("founded");
+    }
+
+    /// One change of one to three steps, now and then within the instant of the one before.
+    pub fn step(&mut self) {
+        let mut copy = self.copies[self.copies.len() - 1].clone();
+        copy.valid = ms(copy.valid.ms + self.pick(4) as u64);
+        let mut edits = Vec::new();
+        let mut free: Vec<TileId> = copy.tiles.keys().copied().collect();
+        for _ in 0..1 + self.pick(3) {
+            if free.is_empty() {
+                break;
+            }
+            let tile = free.swap_remove(self.pick(free.len()));
+            let (atoms, district) = copy.tiles[&tile].clone();
+            let (servers, history, reach) = (self.servers(), self.history(), copy.reach(&atoms));
+            match self.pick(10) {
+                0..=3 if atoms.len() >= 2 => {
+                    let cut = 1 + self.pick(atoms.len() - 1);
+                    let halves = [
+                        atoms.iter().take(cut).copied().collect(),
+                        atoms.iter().skip(cut).copied().collect(),
+                    ];
+                    copy.tiles.remove(&tile);
+                    let mut into = Vec::new();
+                    for half in halves {
+                        let half: Atoms = half;
+                        let (tile, servers) = (self.new_tile(half.clone()), self.servers());
+                        copy.serve(&half, reach, &servers, history);
+                        copy.tiles.insert(tile, (half.clone(), district));
+                        into.push(Piece { tile, weight: weight(&half), servers });
+                    }
+                    edits.push(Edit::Split { tile, into, history });
+                }
+                4..=5 if self.merges && !free.is_empty() => {
+                    let other = free.swap_remove(self.pick(free.len()));
+                    let (others, _) = copy.tiles[&other].clone();
+                    let reach = [reach, copy.reach(&others)];
+                    for (atoms, reach) in [&atoms, &others].into_iter().zip(reach) {
+                        copy.serve(atoms, reach, &servers, history);
+                    }
+                    let both: Atoms = atoms.union(&others).copied().collect();
+                    let into = self.new_tile(both.clone());
+                    copy.tiles.retain(|t, _| ![tile, other].contains(t));
+                    copy.tiles.insert(into, (both, district));
+                    edits.push(Edit::Merge { tiles: vec![tile, other], into, district, servers, history });
+                }
+                6 if copy.tiles.len() > 3 => {
+                    let keeps = self.pick(2) == 0;
+                    copy.serve(&atoms, reach, &[], if keeps { History::Stays } else { History::Moves });
+                    copy.tiles.remove(&tile);
+                    edits.push(Edit::Retire { tile, keeps });
+                }
+                7 => {
+                    let district = District(self.pick(3) as u32);
+                    copy.tiles.insert(tile, (atoms, district));
+                    edits.push(Edit::Assign { tile, district });
+                }
+                8 => {
+                    let name = format!("n{}", self.log.len());
+                    if copy.names.values().all(|n| *n != name) {
+                        copy.names.insert(district, name.clone());
+                        edits.push(Edit::Name { district, name: name.into() });
+                    }
+                }
+                _ => {
+                    // Who goes on serving has what it had: the model's older span says the same.
+                    copy.serve(&atoms, reach, &servers, history);
+                    let stay = |k: &&(ReplicaId, FleetTime, Option<FleetTime>)| {
+                        servers.contains(&k.0) && k.2.is_none()
+                    };
+                    let before = &self.copies[self.copies.len() - 1];
+                    for atom in &atoms {
+                        let stayed: Vec<_> =
+                            before.keeps.get(atom).into_iter().flatten().filter(stay).copied().collect();
+                        copy.keeps.entry(*atom).or_default().extend(stayed);
+                    }
+                    edits.push(Edit::Move { tile, servers, history });
+                }
+            }
+        }
+        if edits.is_empty() {
+            return;
+        }
+        let change = self.change(copy.valid, edits);
+        self.append(change).expect("a sound change");
+        self.copies.push(copy);
+    }
+
+    pub fn copy_at(&self, at: FleetTime) -> &Copy {
+        self.copies.iter().rev().find(|c| c.valid <= at).expect("the first is at zero")
+    }
+
+    /// The ground that a request means: what of `ask` lay in all tiles of one of the chains.
+    pub fn meant(&self, ask: TileId, chains: &[Vec<TileId>]) -> Atoms {
+        let within = |atom: &u32| chains.iter().any(|c| c.iter().all(|t| self.ever[t].contains(atom)));
+        self.ever[&ask].iter().copied().filter(within).collect()
+    }
+}
