--- a/tests/layout/reference.rs
+++ b/tests/layout/reference.rs
@@ -195,7 +195,7 @@
                     }
                 }
                 _ => {
-                    // Who goes on serving has what it had: the model's older span says the same.
+                    // Who goes on serving goes on with what it had.
                     copy.serve(&atoms, reach, &servers, history);
                     let stay = |k: &&(ReplicaId, FleetTime, Option<FleetTime>)| {
                         servers.contains(&k.0) && k.2.is_none()
@@ -204,7 +204,9 @@
                     for atom in &atoms {
                         let stayed: Vec<_> =
                             before.keeps.get(atom).into_iter().flatten().filter(stay).copied().collect();
-                        copy.keeps.entry(*atom).or_default().extend(stayed);
+                        let keeps = copy.keeps.entry(*atom).or_default();
+                        keeps.retain(|k| stayed.iter().all(|s| (s.0, s.1) != (k.0, k.1)));
+                        keeps.extend(stayed);
                     }
                     edits.push(Edit::Move { tile, servers, history });
                 }
