--- a/benches/layout.rs
+++ b/benches/layout.rs
@@ -107,6 +107,13 @@
     rss.trim().trim_end_matches(" kB").parse().expect("a number")
 }
 
+fn snapshot(what: &str, layouts: &Layouts) {
+    let bytes = layouts.snapshot();
+    let took = time(3, |_| drop(black_box(Layouts::restore(&bytes, Limits::default()))));
+    let (versions, size) = (layouts.versions().len(), bytes.len() as f64 / 1e6);
+    println!("snapshot, {what}, {versions} versions: {size:.1} MB, read in {:.0} ms", took / 1e3);
+}
+
 fn main() {
     // `cargo test --benches` and the like only look whether it builds.
     if !std::env::args().any(|a| a == "--bench") {
@@ -126,9 +133,17 @@
         first / 1024.0,
         (first + 99.0 * each) / first
     );
-    let bytes = ground.layouts.snapshot();
-    let took = time(3, |_| drop(black_box(Layouts::restore(&bytes, Limits::default()))));
-    println!("snapshot, 2,500 versions: {:.1} MB, read in {:.0} ms", bytes.len() as f64 / 1e6, took / 1e3);
+    // Nothing is behind the horizon: the first version is empty, and all tiles are steps of changes.
+    snapshot("all as changes", &ground.layouts);
+    // The founding is: the first version has all tiles in full.
+    let closed = FleetTime::from_ms(STEP);
+    let entries = [Entry::Lease { number: 1, life: 1, until: closed, closed }, Entry::Horizon { at: closed }];
+    for entry in &entries {
+        ground.layouts.apply(ground.layouts.applied() + 1, entry).expect("applied");
+    }
+    let first = ground.layouts.versions().first().expect("kept");
+    assert_eq!(first.living(), 100_000);
+    snapshot("100,000 tiles in full", &ground.layouts);
     drop(ground);
 
     for tiles in [100u32, 1000, 10_000, 100_000] {
--- a/tests/layout/reference.rs
+++ b/tests/layout/reference.rs
@@ -67,6 +67,7 @@
 
 /// A history of changes, as the state machine and as copies.
 pub struct World {
+    seed: u64,
     pub rng: Pcg64Mcg,
     pub layouts: Layouts,
     pub copies: Vec<Copy>,
@@ -77,9 +78,19 @@
     next: TileId,
 }
 
+/// A test that fails tells by which history.
+impl Drop for World {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("failed with the history of seed {}, {} entries", self.seed, self.log.len());
+        }
+    }
+}
+
 impl World {
     pub fn new(seed: u64, merges: bool) -> World {
         World {
+            seed,
             rng: Pcg64Mcg::seed_from_u64(seed),
             layouts: Layouts::new(Limits::default()),
             copies: vec![Copy::default()],
@@ -235,3 +246,45 @@
         self.ever[&ask].iter().copied().filter(within).collect()
     }
 }
+
+/// By hand: a server that stays through a move is one of the old and of the new ones, so it goes on with all it had and
+/// passes on all of it later, within the same instant or not. The copies and the layouts must both have it so.
+#[test]
+fn a_server_that_stays_through_a_move_passes_on_all_that_it_had() {
+    for second in [20, 30] {
+        for history in [History::Both, History::Moves, History::Stays] {
+            let (mut world, mut copy) = (World::new(0, false), Copy { valid: ms(10), ..Copy::default() });
+            let atoms = Atoms::from([0]);
+            let servers = |s: &[u64]| s.iter().map(|s| ReplicaId(*s)).collect::<Vec<_>>();
+            let add = Edit::Add {
+                tile: 1,
+                weight: weight(&atoms),
+                district: District(0),
+                servers: servers(&[1, 2]),
+            };
+            let change = world.change(ms(10), vec![add]);
+            world.append(change).expect("founded");
+            copy.serve(&atoms, ms(10), &servers(&[1, 2]), History::Stays, false);
+            for (valid, to, history) in [(20, 1, History::Stays), (second, 3, history)] {
+                let step = Edit::Move { tile: 1, servers: servers(&[to]), history };
+                let change = world.change(ms(valid), vec![step]);
+                world.append(change).expect("moved");
+                copy.valid = ms(valid);
+                let reach = copy.reach(&atoms);
+                copy.serve(&atoms, reach, &servers(&[to]), history, true);
+            }
+            let before = match history {
+                History::Both => servers(&[1, 2, 3]),
+                History::Moves => servers(&[2, 3]),
+                History::Stays => servers(&[1, 2]),
+            };
+            let tile = world.layouts.newest().tile(1).expect("there");
+            for (at, holders) in [(Some(10), &before), (Some(19), &before), (None, &servers(&[3]))] {
+                let at = at.map(ms);
+                assert_eq!(&tile.holders(at), holders, "layouts, {history:?} at {second}, {at:?}");
+                let copied: Vec<_> = (1..4).map(ReplicaId).filter(|s| copy.holds(*s, 0, at)).collect();
+                assert_eq!(&copied, holders, "copies, {history:?} at {second}, {at:?}");
+            }
+        }
+    }
+}
