--- a/tests/layout/histories.rs
+++ b/tests/layout/histories.rs
@@ -8,7 +8,7 @@
 
 fn world(seed: u64, changes: usize) -> World {
     // Half of the seeds join no tiles: there all weights are known, and what is lost is told exactly.
-    let mut world = World::new(seed, seed % 2 == 0);
+    let mut world = World::new(seed, seed.is_multiple_of(2));
     world.found();
     for _ in 0..changes {
         world.step();
