--- a/tests/layout/reference.rs
+++ b/tests/layout/reference.rs
@@ -32,17 +32,12 @@
 }
 
 impl Copy {
-    /// New servers serve ground; what its old ones leave, all but those that `stay`.
-    fn serve(
-        &mut self,
-        atoms: &Atoms,
-        reach: FleetTime,
-        servers: &[ReplicaId],
-        history: History,
-        stay: bool,
-    ) {
+    /// New servers serve ground; what its old ones leave, all but those that `stay`. What comes to the new ones is told
+    /// atom by atom: ground that was joined need not have come with as much history as the other.
+    fn serve(&mut self, atoms: &Atoms, servers: &[ReplicaId], history: History, stay: bool) {
         for atom in atoms {
             let keeps = self.keeps.entry(*atom).or_default();
+            let reach = keeps.iter().filter(|k| k.2.is_none()).map(|k| k.1).min().unwrap_or(self.valid);
             for keep in keeps.iter_mut().filter(|k| k.2.is_none() && !(stay && servers.contains(&k.0))) {
                 keep.2 = Some(if history == History::Moves { keep.1 } else { self.valid });
             }
@@ -51,11 +46,6 @@
         }
     }
 
-    fn reach(&self, atoms: &Atoms) -> FleetTime {
-        let open = atoms.iter().flat_map(|a| self.keeps.get(a)).flatten().filter(|k| k.2.is_none());
-        open.map(|k| k.1).min().unwrap_or(self.valid)
-    }
-
     pub fn holds(&self, server: ReplicaId, atom: u32, at: Option<FleetTime>) -> bool {
         let covers = |from: FleetTime, until: Option<FleetTime>| match at {
             Some(at) => from <= at && until.is_none_or(|u| at < u),
@@ -141,7 +131,7 @@
             let atoms: Atoms = (n * ATOMS / 6..(n + 1) * ATOMS / 6).collect();
             let (tile, district, servers) = (self.new_tile(atoms.clone()), District(n % 2), self.servers());
             edits.push(Edit::Add { tile, weight: weight(&atoms), district, servers: servers.clone() });
-            copy.serve(&atoms, ms(10), &servers, History::Stays, false);
+            copy.serve(&atoms, &servers, History::Stays, false);
             copy.tiles.insert(tile, (atoms, district));
         }
         for n in 0..2 {
@@ -165,7 +155,7 @@
             }
             let tile = free.swap_remove(self.pick(free.len()));
             let (atoms, district) = copy.tiles[&tile].clone();
-            let (servers, history, reach) = (self.servers(), self.history(), copy.reach(&atoms));
+            let (servers, history) = (self.servers(), self.history());
             match self.pick(10) {
                 0..=3 if atoms.len() >= 2 => {
                     let cut = 1 + self.pick(atoms.len() - 1);
@@ -178,7 +168,7 @@
                     for half in halves {
                         let half: Atoms = half;
                         let (tile, servers) = (self.new_tile(half.clone()), self.servers());
-                        copy.serve(&half, reach, &servers, history, false);
+                        copy.serve(&half, &servers, history, false);
                         copy.tiles.insert(tile, (half.clone(), district));
                         into.push(Piece { tile, weight: weight(&half), servers });
                     }
@@ -187,11 +177,8 @@
                 4..=5 if self.merges && !free.is_empty() => {
                     let other = free.swap_remove(self.pick(free.len()));
                     let (others, _) = copy.tiles[&other].clone();
-                    let reach = [reach, copy.reach(&others)];
-                    for (atoms, reach) in [&atoms, &others].into_iter().zip(reach) {
-                        copy.serve(atoms, reach, &servers, history, false);
-                    }
                     let both: Atoms = atoms.union(&others).copied().collect();
+                    copy.serve(&both, &servers, history, false);
                     let into = self.new_tile(both.clone());
                     copy.tiles.retain(|t, _| ![tile, other].contains(t));
                     copy.tiles.insert(into, (both, district));
@@ -199,13 +186,8 @@
                 }
                 6 if copy.tiles.len() > 3 => {
                     let keeps = self.pick(2) == 0;
-                    copy.serve(
-                        &atoms,
-                        reach,
-                        &[],
-                        if keeps { History::Stays } else { History::Moves },
-                        false,
-                    );
+                    let history = if keeps { History::Stays } else { History::Moves };
+                    copy.serve(&atoms, &[], history, false);
                     copy.tiles.remove(&tile);
                     edits.push(Edit::Retire { tile, keeps });
                 }
@@ -223,7 +205,7 @@
                 }
                 _ => {
                     // Who goes on serving goes on with what it had.
-                    copy.serve(&atoms, reach, &servers, history, true);
+                    copy.serve(&atoms, &servers, history, true);
                     edits.push(Edit::Move { tile, servers, history });
                 }
             }
@@ -247,44 +229,81 @@
     }
 }
 
-/// By hand: a server that stays through a move is one of the old and of the new ones, so it goes on with all it had and
-/// passes on all of it later, within the same instant or not. The copies and the layouts must both have it so.
+/// A layout of one tile and its copy, by hand: from 10 on tile 1 is served by some.
+fn by_hand(servers: &[u64]) -> (World, Copy) {
+    let (mut world, mut copy) = (World::new(0, false), Copy::default());
+    let weight = weight(&Atoms::from([0, 1]));
+    let add = Edit::Add { tile: 1, weight, district: District(0), servers: ids(servers) };
+    then(&mut world, &mut copy, 10, add, &[(&[0, 1], servers)], History::Stays, false);
+    (world, copy)
+}
+
+fn ids(servers: &[u64]) -> Vec<ReplicaId> {
+    servers.iter().map(|s| ReplicaId(*s)).collect()
+}
+
+fn then(
+    world: &mut World,
+    copy: &mut Copy,
+    valid: u64,
+    edit: Edit,
+    served: &[(&[u32], &[u64])],
+    history: History,
+    stay: bool,
+) {
+    let change = world.change(ms(valid), vec![edit]);
+    world.append(change).expect("sound");
+    copy.valid = ms(valid);
+    for (atoms, servers) in served {
+        copy.serve(&atoms.iter().copied().collect(), &ids(servers), history, stay);
+    }
+}
+
+/// Who has the first atom's history in the copy.
+fn copied(copy: &Copy, at: u64) -> Vec<ReplicaId> {
+    (1..6).map(ReplicaId).filter(|s| copy.holds(*s, 0, Some(ms(at)))).collect()
+}
+
+/// A server that stays through a move is one of the old and of the new ones: it goes on with all it had and passes on all
+/// of it later, within the same instant or not. The copies and the layouts must both have it so.
 #[test]
 fn a_server_that_stays_through_a_move_passes_on_all_that_it_had() {
+    use History::*;
     for second in [20, 30] {
-        for history in [History::Both, History::Moves, History::Stays] {
-            let (mut world, mut copy) = (World::new(0, false), Copy { valid: ms(10), ..Copy::default() });
-            let atoms = Atoms::from([0]);
-            let servers = |s: &[u64]| s.iter().map(|s| ReplicaId(*s)).collect::<Vec<_>>();
-            let add = Edit::Add {
-                tile: 1,
-                weight: weight(&atoms),
-                district: District(0),
-                servers: servers(&[1, 2]),
-            };
-            let change = world.change(ms(10), vec![add]);
-            world.append(change).expect("founded");
-            copy.serve(&atoms, ms(10), &servers(&[1, 2]), History::Stays, false);
-            for (valid, to, history) in [(20, 1, History::Stays), (second, 3, history)] {
-                let step = Edit::Move { tile: 1, servers: servers(&[to]), history };
-                let change = world.change(ms(valid), vec![step]);
-                world.append(change).expect("moved");
-                copy.valid = ms(valid);
-                let reach = copy.reach(&atoms);
-                copy.serve(&atoms, reach, &servers(&[to]), history, true);
+        for (history, before) in [(Both, &[1, 2, 3][..]), (Moves, &[2, 3]), (Stays, &[1, 2])] {
+            let (mut world, mut copy) = by_hand(&[1, 2]);
+            for (valid, to, history) in [(20, 1, Stays), (second, 3, history)] {
+                let step = Edit::Move { tile: 1, servers: ids(&[to]), history };
+                then(&mut world, &mut copy, valid, step, &[(&[0, 1], &[to])], history, true);
             }
-            let before = match history {
-                History::Both => servers(&[1, 2, 3]),
-                History::Moves => servers(&[2, 3]),
-                History::Stays => servers(&[1, 2]),
-            };
             let tile = world.layouts.newest().tile(1).expect("there");
-            for (at, holders) in [(Some(10), &before), (Some(19), &before), (None, &servers(&[3]))] {
-                let at = at.map(ms);
-                assert_eq!(&tile.holders(at), holders, "layouts, {history:?} at {second}, {at:?}");
-                let copied: Vec<_> = (1..4).map(ReplicaId).filter(|s| copy.holds(*s, 0, at)).collect();
-                assert_eq!(&copied, holders, "copies, {history:?} at {second}, {at:?}");
+            for (at, holders) in [(10, before), (19, before), (30, &[3])] {
+                assert_eq!(tile.holders(Some(ms(at))), ids(holders), "layouts, {history:?} at {second}");
+                assert_eq!(copied(&copy, at), ids(holders), "copies, {history:?} at {second}");
             }
         }
     }
 }
+
+/// What a server keeps of a tile that was cut is not lost when it stays through a move of a piece, and leaves that later.
+#[test]
+fn a_server_keeps_a_cut_tile_whatever_becomes_of_a_piece_that_it_served() {
+    use History::{Both, Moves};
+    for stays in [20, 30] {
+        let (mut world, mut copy) = by_hand(&[1]);
+        let piece = |tile, atom, server| {
+            let weight = weight(&Atoms::from([atom]));
+            Piece { tile, weight, servers: ids(&[server]) }
+        };
+        let split = Edit::Split { tile: 1, into: vec![piece(2, 0, 1), piece(3, 1, 4)], history: Both };
+        then(&mut world, &mut copy, 20, split, &[(&[0], &[1]), (&[1], &[4])], Both, false);
+        for (valid, to) in [(stays, 1), (40, 5)] {
+            let step = Edit::Move { tile: 2, servers: ids(&[to]), history: Moves };
+            then(&mut world, &mut copy, valid, step, &[(&[0], &[to])], Moves, true);
+        }
+        let holders = |tile, at| world.layouts.newest().tile(tile).expect("kept").holders(Some(ms(at)));
+        assert_eq!((holders(1, 19), holders(1, 20)), (ids(&[1]), vec![]));
+        assert_eq!((holders(2, 19), holders(2, 30)), (ids(&[5]), ids(&[5])));
+        assert_eq!((copied(&copy, 19), copied(&copy, 30)), (ids(&[1, 5]), ids(&[5])));
+    }
+}
