--- a/tests/layout/reference.rs
+++ b/tests/layout/reference.rs
@@ -3,7 +3,9 @@
 
 use marlgap::fleet::FleetTime;
 use marlgap::interface::ReplicaId;
-use marlgap::layout::{Change, District, Edit, Entry, History, Layouts, Limits, Piece, TileId, Weight};
+use marlgap::layout::{
+    At, Change, District, Edit, Entry, History, Layouts, Limits, Piece, Source, TileId, Weight, Which,
+};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -307,3 +309,28 @@
         assert_eq!((copied(&copy, 19), copied(&copy, 30)), (ids(&[1, 5]), ids(&[5])));
     }
 }
+
+/// History that went to the next tile's servers only from 15 on is not asked of them before that: once the server that kept the
+/// rest says that it has it no more, that is lost, also where the next tile's servers have that time of other ground.
+#[test]
+fn history_that_did_not_pass_is_lost_and_not_asked_of_the_next_tile() {
+    let (mut world, mut copy) = by_hand(&[1]);
+    let weight = weight(&Atoms::from([0, 1]));
+    let keep = Edit::Keep { tile: 1, server: ReplicaId(1), from: ms(10), until: Some(ms(10)) };
+    let (district, servers, history) = (District(0), ids(&[3]), History::Moves);
+    for (valid, edit) in [
+        (10, Edit::Add { tile: 2, weight, district, servers: ids(&[4]) }),
+        (15, Edit::Move { tile: 1, servers: ids(&[2]), history: History::Stays }),
+        (20, Edit::Merge { tiles: vec![1, 2], into: 3, district, servers, history }),
+        (21, keep),
+    ] {
+        then(&mut world, &mut copy, valid, edit, &[], history, false);
+    }
+    let now = ms(25);
+    for (at, lost) in [(12, true), (14, true), (15, false), (19, false)] {
+        let routed = world.layouts.route(Which::All, At::Past(ms(at)), now, now).expect("a plan");
+        assert_eq!(routed.missing().collect::<Vec<_>>(), if lost { vec![1] } else { vec![] }, "at {at}");
+        let asked = |s: &Source| (s.ask, s.holders.clone()) == (3, ids(&[3]));
+        assert!(routed.parts.iter().flat_map(|p| &p.sources).all(asked), "{routed:?}");
+    }
+}
