--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod found;
 pub mod found_first;
 pub mod log;
+pub mod time;
 pub mod work;
 
 use std::fmt;
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 
 pub use config::{ConfigError, Configuration};
+pub use time::FleetTime;
 
 /// Microseconds on a member's own monotonic clock: only differences count, and only on the member that read it.
 pub type Micros = u64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod foresight;
 pub mod interface;
+pub mod layout;
 pub mod net;
 pub mod operator;
 pub mod pool;
