--- a/src/fleet/work/opening.rs
+++ b/src/fleet/work/opening.rs
@@ -29,6 +29,10 @@
                 self.counts.other_text += 1;
                 return self.tell(&from, &work, What::OtherText, Bytes::new());
             }
+            // No majority had room: whoever asks later is not left waiting for what will not come.
+            if self.led.get(&work).is_some_and(|l| l.refused) {
+                return self.tell(&from, &work, What::Refused, Bytes::new());
+            }
             return self.join(&from, &work);
         }
         if let Some(led) = self.led.get(&work) {
