--- a/src/fleet/work/guard.rs
+++ b/src/fleet/work/guard.rs
@@ -189,14 +189,17 @@
             return;
         }
         let (now, slack) = (self.now, self.slack(m.class));
-        let Some(slot) = self.slot(&work, 0) else { return };
+        let Some(slot) = self.slot(&work, 0) else {
+            let no = Sealed { epoch: m.epoch, id: m.id, exists: false, full: true };
+            return self.send(&from, Body::Sealed(no));
+        };
         slot.until(now, m.left_us, slack);
         let exists = !slot.acceptor.seal();
         if !exists {
             self.counts.sealed += 1;
             self.give_way(&work, NEVER);
         }
-        self.send(&from, Body::Sealed(Sealed { epoch: m.epoch, id: m.id, exists }));
+        self.send(&from, Body::Sealed(Sealed { epoch: m.epoch, id: m.id, exists, full: false }));
     }
 
     /// Looks over all works guarded here.
--- a/src/fleet/work/led.rs
+++ b/src/fleet/work/led.rs
@@ -35,6 +35,8 @@
     pub group: Vec<MemberId>,
     pub sealed: Vec<bool>,
     pub exists: Vec<bool>,
+    /// No room for the seal there.
+    pub full: Vec<bool>,
 }
 
 #[derive(Debug, Default)]
--- a/src/fleet/work/message.rs
+++ b/src/fleet/work/message.rs
@@ -228,6 +228,9 @@
     /// It has a record of it, and has sealed nothing.
     #[prost(bool, tag = "3")]
     pub exists: bool,
+    /// It has no room to remember that, and has sealed nothing.
+    #[prost(bool, tag = "4")]
+    pub full: bool,
 }
 
 /// A message that cannot be used.
--- a/src/fleet/work/opening.rs
+++ b/src/fleet/work/opening.rs
@@ -116,7 +116,7 @@
         let group = |epoch| self.group(&(epoch, work.1.clone()), class).map(|g| (epoch, g.to_vec()));
         let old = |(epoch, group): (u64, Vec<MemberId>)| {
             let none = vec![false; group.len()];
-            Old { epoch, group, sealed: none.clone(), exists: none }
+            Old { epoch, group, sealed: none.clone(), exists: none.clone(), full: none }
         };
         older.filter_map(group).map(old).collect()
     }
@@ -128,7 +128,11 @@
         for (work, led) in works {
             for old in led.olds.iter_mut().filter(|o| o.epoch == m.epoch) {
                 let Some(at) = old.group.iter().position(|g| *g == from) else { continue };
-                let list = if m.exists { &mut old.exists } else { &mut old.sealed };
+                let list = match (m.exists, m.full) {
+                    (true, _) => &mut old.exists,
+                    (false, true) => &mut old.full,
+                    (false, false) => &mut old.sealed,
+                };
                 if let Some(said) = list.get_mut(at) {
                     *said = true;
                 }
@@ -154,7 +158,11 @@
                         || yes(&o.exists) > 0 && yes(&o.sealed) < majority(o.group.len())
                 });
                 if let Some(epoch) = found.map(|o| o.epoch) {
-                    self.give_up(work, |works, to| works.elsewhere(to, work, epoch));
+                    return self.give_up(work, |works, to| works.elsewhere(to, work, epoch));
+                }
+                // Nothing was written yet, so nobody holds what is refused here.
+                if led.olds.iter().any(|o| yes(&o.full) > o.group.len() - majority(o.group.len())) {
+                    self.give_up(work, |works, to| works.tell(to, work, What::Refused, Bytes::new()));
                 }
             }
             Phase::Prepare => {
--- a/tests/fleet_work/main.rs
+++ b/tests/fleet_work/main.rs
@@ -146,6 +146,10 @@
     found.wrong.remove("out of time though all was well again");
     assert!(found.wrong.is_empty(), "{:?}", found.wrong);
     assert!(found.refused > 500 && found.outcomes > 500, "{found:?}");
+    // Nor is it where older groups have no room for a seal.
+    let changed = |seed| Plan { ids: 20, works: Some(3), ..plan(8 * seed + 6) };
+    let changed = play(0..60, Guards::default(), changed);
+    assert!(changed.refused > 500 && changed.late == 0, "{changed:?}");
     // Without faults nobody is left waiting: who is not refused gets the outcome.
     let calm = play(0..60, Guards::default(), |seed| Plan { ids: 20, works: Some(3), ..plan(8 * seed) });
     assert!(calm.refused > 500 && calm.outcomes > 300 && calm.late == 0, "{calm:?}");
