--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,6 +38,10 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 
+mod settings;
+
+pub use settings::*;
+
 /// A replica, as discovery names it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReplicaId(pub u64);
@@ -66,157 +70,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u8);
 
-/// What a repeat of a part may do.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Effect {
-    /// Safe to repeat.
-    Safe,
-    /// Repeats are dropped for `window` seconds from the send of the first attempt that may have run.
-    Keyed { window: f64 },
-    /// Must not be repeated unless every attempt is proved not to have run.
-    Unsafe,
-}
-
-/// A class of query.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Class {
-    /// An answer within this time has its full worth.
-    pub aim: f64,
-    /// How long a client waits over all its tries.
-    pub deadline: f64,
-    pub worth: f64,
-    /// Share of the worth of an answer after the aim.
-    pub late_worth: f64,
-    pub effect: Effect,
-    /// Share of the first step's weight that makes a whole answer.
-    pub need: f64,
-    /// Least share of an answer.
-    pub floor: f64,
-    /// An answer that is not whole earns this times its share over `need`.
-    pub partial: f64,
-    /// Parts of the second step; 0 for one step only.
-    pub second_step: u32,
-    /// Whether a second attempt of a part may run beside another one.
-    pub copies: bool,
-}
-
-/// A tenant.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Tenant {
-    /// Queries a second over all co-ordinators that count as inside its share.
-    pub quota: f64,
-}
-
-/// How replicas report their load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reports {
-    Inline,
-    OnProbe,
-    Off,
-}
-
-/// How the list of replicas is followed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Discovery {
-    Push,
-    /// Must be subscribed to; without a subscription one must ask within so many seconds.
-    Ask {
-        within: f64,
-    },
-}
-
-/// The stated budget of attempts beyond each part's first.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Budget {
-    pub free: f64,
-    /// Earned by each query or part taken.
-    pub share: f64,
-    pub window: f64,
-}
-
-/// What a cold replica stands.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdRule {
-    /// Least share of its capacity at the start.
-    pub from: f64,
-    /// Warm after this long at the latest.
-    pub ramp: f64,
-    /// Falls over at more than this many times its present capacity...
-    pub multiple: f64,
-    /// ...for this long.
-    pub after: f64,
-}
-
-/// What a deployment tells a co-ordinator at its start.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Settings {
-    pub classes: Vec<Class>,
-    pub tenants: Vec<Tenant>,
-    /// Worth of a query over its tenant's share, as a part of its class's worth.
-    pub over_share_worth: f64,
-    pub cells: u32,
-    pub reach: u32,
-    /// Parts that share one call at most.
-    pub per_call: u32,
-    pub zone: ZoneId,
-    /// Clients mark their repeats.
-    pub marks_retry: bool,
-    /// Co-ordinators in all, this one included.
-    pub coordinators: u32,
-    pub reports: Reports,
-    pub discovery: Discovery,
-    pub cancel: bool,
-    pub probes: bool,
-    pub second_copies: bool,
-    /// The longest retry-after that clients heed; `None` where they are not told.
-    pub retry_after: Option<f64>,
-    pub most_tries: u32,
-    /// Rounds come at most this often.
-    pub round: f64,
-    pub budget: Option<Budget>,
-    pub cold: Option<ColdRule>,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Settings {
-            classes: Vec::new(),
-            tenants: Vec::new(),
-            over_share_worth: 1.0,
-            cells: 1,
-            reach: 1,
-            per_call: 1,
-            zone: ZoneId(0),
-            marks_retry: false,
-            coordinators: 1,
-            reports: Reports::Off,
-            discovery: Discovery::Push,
-            cancel: true,
-            probes: false,
-            second_copies: true,
-            retry_after: None,
-            most_tries: 3,
-            round: 0.0,
-            budget: None,
-            cold: None,
-        }
-    }
-}
-
-/// Settings that cannot be served.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SettingsError {
-    pub field: &'static str,
-}
-
-impl std::fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "settings cannot be served: bad value of {}", self.field)
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 /// State of a replica as discovery has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -170,14 +170,8 @@
         self.parts.insert(part, state);
         self.taken.push(self.now);
         self.queries.get_mut(&query).expect("held").parts.push(part);
-        Event::Part {
-            part: PartId(part),
-            number: QueryNumber(query),
-            shard: ShardId(shard),
-            weight,
-            spent: 0,
-            served: false,
-        }
+        let (part, number, shard) = (PartId(part), QueryNumber(query), ShardId(shard));
+        Event::Part { part, number, shard, weight, spent: 0, served: false }
     }
 
     fn events(&mut self) -> Vec<Event> {
