--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -5,7 +5,7 @@
 //! ```
 //!
 //! Rates and latencies are ratios of one run, with protection over without in rounds that take turns, since absolute
-//! times are the machine's. Members reach each other directly; stand-in servers answer at once.
+//! times are the machine's. Members reach each other directly; stand-in servers answer at once, or after 10 ms.
 #![allow(dead_code, reason = "the tests' own helpers, of which this uses some")]
 #[path = "../tests/fleet_together/checker.rs"]
 mod checker;
@@ -33,6 +33,8 @@
 const ROUNDS: usize = 5;
 const SPAN: Duration = Duration::from_millis(1000);
 const KILLS: usize = 60;
+/// What a part takes where servers do some work.
+const SERVE: Duration = Duration::from_millis(10);
 /// What a client has left at the kill, about.
 const LEFT_MS: u64 = 1500;
 const ZONES: [&str; 9] = ["a", "b", "c", "a", "b", "c", "a", "b", "c"];
@@ -79,8 +81,15 @@
 }
 
 /// Protection over without, by number of processes and of clients at once.
-fn cost(members: usize, rounds: usize) {
-    let start = |on: bool| Cluster::with(&format!("bench-{members}-{on}"), &ZONES[..members], setup(on));
+fn cost(members: usize, rounds: usize, serve: Duration) {
+    let start = |on: bool| {
+        let name = format!("bench-{members}-{on}-{}", serve.as_millis());
+        let cluster = Cluster::with(&name, &ZONES[..members], setup(on));
+        if !serve.is_zero() {
+            cluster.servers.script(move |_| Does::Late(serve));
+        }
+        cluster
+    };
     let (on, off) = (start(true), start(false));
     for at_once in [1, 2 * members, 16 * members.min(4)] {
         let mut seen = Vec::new();
@@ -101,7 +110,7 @@
             quantile(&all, 0.5)
         };
         println!(
-            "{members} processes, {at_once} at once: p50 x{:.2}, p99 x{:.2}, rate x{:.2} (without: p50 {:.2} ms, {:.0}/s)",
+            "{members} processes, {at_once} at once, served in {serve:?}: p50 x{:.2}, p99 x{:.2}, rate x{:.2} (without: p50 {:.2} ms, {:.0}/s)",
             middle(0), middle(1), middle(2), middle(3), middle(4)
         );
     }
@@ -165,7 +174,9 @@
     }
     let kills = told("FLEET_KILLS", KILLS);
     for members in [1, 3, 9] {
-        cost(members, told("FLEET_ROUNDS", ROUNDS));
+        for serve in [Duration::ZERO, SERVE] {
+            cost(members, told("FLEET_ROUNDS", ROUNDS), serve);
+        }
     }
     let mut all = Killed::default();
     for n in 0..kills {
