Take the checks before a gRPC call out of its front's file

Change: shards, a route's room and the health service's answers are in `front/checks.rs`, moved without a change.

--- /dev/null
+++ b/src/net/grpc/front/checks.rs
@@ -0,0 +1,103 @@
+//! What is looked at before a call is taken: its shards, its route's room; and the health service's answers.
+use super::*;
+
+impl Front {
+    pub(super) fn shards(
+        &self,
+        route: &Route,
+        headers: &HeaderMap,
+        first: &[u8],
+    ) -> Result<Vec<crate::interface::ShardId>, Status> {
+        let refuse = |e: routes::NoShard| match e {
+            routes::NoShard::TooLarge => Status::new(Code::ResourceExhausted, e.to_string()),
+            routes::NoShard::Packed(_) => Status::new(Code::Unimplemented, e.to_string()),
+            e => Status::new(Code::InvalidArgument, e.to_string()),
+        };
+        let encoding = headers.get(wire::GRPC_ENCODING).and_then(|v| v.to_str().ok());
+        let inner = match wire::message(first).filter(|_| route.looks_inside()) {
+            None => None,
+            Some((packed, message)) => {
+                let unpacked = routes::first_message(message, packed, encoding, self.limits.unpacked);
+                Some(unpacked.map_err(refuse)?)
+            }
+        };
+        let metadata = |key: &str| {
+            let values = headers.get_all(key).iter();
+            // A value that is no text names no shard.
+            values.map(|v| v.to_str().unwrap_or("?")).collect::<Vec<_>>()
+        };
+        let random = self.rng.borrow_mut().next_u64();
+        route.shards(metadata, inner.as_deref(), random).map_err(refuse)
+    }
+
+    /// A place among the open calls of a route that bounds them.
+    pub(super) fn room<'f>(&'f self, table: &Table, route: &'f Route) -> Result<Option<OfRoute<'f>>, Status> {
+        let Some(most) = route.open else { return Ok(None) };
+        let mut open = self.open.borrow_mut();
+        let held = open.entry(route.pattern.clone()).or_default();
+        if *held >= most {
+            let status =
+                Status::new(Code::ResourceExhausted, "as many calls of this method are open as may be");
+            return Err(Status { retry_after: table.told.settings.retry_after, ..status });
+        }
+        *held += 1;
+        Ok(Some(OfRoute(self, &route.pattern)))
+    }
+
+    /// grpc.health.v1.Health, of the front itself.
+    pub(super) async fn health(&self, path: &str, mut client: Caller) {
+        let mut framer = Framer::new(1024, false);
+        let taken = by(Instant::now() + LEAVE, client.take(&mut framer, true)).await;
+        let Some(Ok(message)) = taken else {
+            return client
+                .end(wire::trailers(&Status::new(Code::InvalidArgument, "no request that can be read")));
+        };
+        let table = self.table.load_full();
+        let asked = match wire::message(&message).ok_or(()).and_then(|(_, m)| health::asked(m).map_err(drop))
+        {
+            Ok(service) => service,
+            Err(()) => {
+                let bad = Status::new(Code::InvalidArgument, "no health check request");
+                return client.end(wire::trailers(&bad));
+            }
+        };
+        let state = || health::state(&asked, &table.routes, self.core.ready(), self.closing.begun.get());
+        match path.strip_prefix(health::SERVICE) {
+            Some("Check") => match health::check(state()) {
+                Ok(message) => {
+                    let sent = client.open(grpc_head()).is_ok();
+                    if sent
+                        && by(Instant::now() + LEAVE, client.write(message)).await.is_some_and(|w| w.is_ok())
+                    {
+                        client.end(wire::trailers(&Status::new(Code::Ok, "")));
+                    }
+                }
+                Err(status) => client.end(wire::trailers(&status)),
+            },
+            Some("Watch") => {
+                if client.open(grpc_head()).is_err() {
+                    return;
+                }
+                let mut said = None;
+                loop {
+                    let now = state();
+                    if said != Some(now) {
+                        said = Some(now);
+                        if client.write(health::message(now)).await.is_err() {
+                            return;
+                        }
+                    }
+                    if self.closing.begun.get() {
+                        return client.end(wire::trailers(&Status::new(Code::Unavailable, "stopping")));
+                    }
+                    // Seldom enough to cost nothing, often enough for a balancer in front of us.
+                    let later = Instant::now() + Duration::from_millis(200);
+                    if by(later, client.gone()).await.is_some() {
+                        return;
+                    }
+                }
+            }
+            _ => client.end(wire::trailers(&Status::new(Code::Unimplemented, "no such method"))),
+        }
+    }
+}
