--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -95,7 +95,8 @@
     ) -> Result<Rc<Self>, SettingsError> {
         let state = State {
             balancer: Balancer::new(settings.clone(), seed)?,
-            events: Vec::new(),
+            // A first round, whatever happens. Guards against a list that is never asked for where none is known.
+            events: vec![Event::Timer],
             timers: BinaryHeap::new(),
             open: BTreeMap::new(),
             parts: BTreeMap::new(),
@@ -149,11 +150,16 @@
         self.state.borrow().full(self.max_open)
     }
 
-    /// Whether some list of replicas has gone through a round: queries can be served.
+    /// Whether queries are to come: some list of replicas has gone through a round, or is waited for no longer.
     pub fn ready(&self) -> bool {
         self.listed.get()
     }
 
+    /// Wait for a list of replicas no longer.
+    pub fn go_on(&self) {
+        self.listed.set(true);
+    }
+
     /// Yields each time the module wants to follow the list of replicas from here on.
     pub fn subscriptions(&self) -> Receiver<()> {
         self.subscribe.1.clone()
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,7 +17,6 @@
 use config::{Config, ConfigError};
 use marlgap::cli::{self, Cli, Command};
 use marlgap::core::{Core, Transport};
-use marlgap::interface::News;
 use marlgap::net::clients::{self, Acceptor, Closing};
 use marlgap::net::descriptors::Descriptors;
 use marlgap::net::discovery::Discovery;
@@ -86,7 +85,8 @@
     // The fronts of the operator's file keep theirs by themselves: the share that is always there for them.
     let apart = Descriptors::new(all);
     let mut accepted = Vec::new();
-    let (moved, moves) = async_channel::unbounded();
+    // The last address told is the one that counts.
+    let (moved, moves) = async_channel::bounded(1);
 
     if let Some(platform) = config.platform {
         let told = Rc::new(platform.told.clone());
@@ -95,14 +95,9 @@
         let settings = told.settings.clone();
         let core = Core::new(settings, config.seed, told.max_open, executor.clone(), nodes.clone())
             .map_err(ConfigError::Settings)?;
-        let zones = told.zones.clone();
-        let (address, core_of) = (platform.discovery, core.clone());
-        let discovery = Discovery { address, moves, core: core_of, nodes, zones, log: log.clone() };
-        let mut seq = 0;
-        if let Some(known) = platform.known()? {
-            discovery.apply(&known, News::Cached);
-            seq = known.seq;
-        }
+        platform.known()?;
+        let how = (told.settings.discovery, told.zones.clone());
+        let discovery = Discovery::new(platform.discovery, moves, core.clone(), nodes, how, log.clone());
         let listener = listen(platform.listen)?;
         let address = listener.get_ref().local_addr().unwrap_or(platform.listen);
         info!(log, "listening"; "name" => &platform.name, "address" => %address);
@@ -112,8 +107,13 @@
         let acceptor = acceptor(descriptors);
         let accept = acceptor.clone().accept(listener, move |client| front.clone().serve(client));
         accepted.push((acceptor, executor.spawn(accept)));
+        let follow = async move {
+            // Looked at above: what cannot be read has ended the program.
+            let known = platform.known().unwrap_or_default();
+            discovery.run(known.as_ref()).await
+        };
+        executor.spawn(follow).detach();
         executor.spawn(core.clone().run()).detach();
-        executor.spawn(discovery.watch(seq)).detach();
         executor.spawn(count(core, "platform", log.clone())).detach();
     }
 
@@ -165,7 +165,7 @@
             match config::discovery() {
                 Ok(address) => {
                     info!(log, "configuration reread"; "discovery" => %address);
-                    let _ = moved.try_send(address);
+                    let _ = moved.force_send(address);
                 }
                 Err(e) => warn!(log, "configuration not reread"; "error" => %e),
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -50,6 +50,20 @@
         program
     }
 
+    /// Start the platform's front with so many descriptors, and no more.
+    pub fn limited(folder: &Path, descriptors: u32) -> Program {
+        let mut command = Command::new("sh");
+        command.args([
+            "-c",
+            &format!("ulimit -n {descriptors} && exec \"$0\""),
+            env!("CARGO_BIN_EXE_marlgap"),
+        ]);
+        command.env("RELAY_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
+        let mut program = Program::spawn(command);
+        program.address = place(&program.log(" listening, "));
+        program
+    }
+
     /// Start it with the operator's file in `folder` alone.
     pub fn alone(folder: &Path) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
@@ -140,6 +154,14 @@
     folder
 }
 
+/// Change the platform's configuration in `folder`.
+pub fn reconfigure(folder: &Path, from: &str, to: &str) {
+    let path = folder.join("config.json");
+    let text = std::fs::read_to_string(&path).expect("read");
+    assert!(text.contains(from), "no {from} in {text}");
+    std::fs::write(path, text.replace(from, to)).expect("written");
+}
+
 /// One entry of discovery's list.
 pub fn host(n: usize, at: &SocketAddr, health: &str) -> String {
     format!(
