Hear a drain whose address cannot be used

An entry whose `dial` cannot be used was left out whatever its health (discovery/mod.rs, entry), so a drain among changes went unheard. Nobody dials what wants nothing new: it counts without its address. The new test is red without it.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -75,10 +75,13 @@
             "draining" => Phase::Draining,
             _ => Phase::Gone,
         };
-        let Ok(address) = host.dial.parse() else {
+        // Nobody dials what wants nothing new: guards against a drain that goes unheard for want of an address.
+        let unused = (phase != Phase::Ready).then_some(SocketAddr::from(([0, 0, 0, 0], 0)));
+        let address = host.dial.parse().ok();
+        if address.is_none() {
             warn!(self.log, "unusable address of a data node"; "host" => &*host.host, "dial" => &*host.dial);
-            return None;
-        };
+        }
+        let address = address.or(unused)?;
         let replica =
             self.nodes.list(&Entry { name: host.host.to_string(), address, phase, born: host.born_ms });
         let zone = self.zones.iter().position(|z| *z == host.site).map_or(u8::MAX, |n| n as u8);
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -227,6 +227,18 @@
     assert!(discovery.next().head.contains("?index=3&"));
 }
 
+#[test]
+fn a_drain_is_heard_also_where_the_address_cannot_be_used() {
+    let discovery = Standin::begin();
+    let program = Program::start(&folder("address", &discovery, false), false);
+    program.log("entries: 1, whole: true, seq: 1");
+    let spoilt = |health: &str| node(health).replace("127.0.0.1:9", "nowhere");
+    discovery.next().answer(&list(2, false, &spoilt("up")));
+    program.log("entries: 0, whole: false, seq: 2");
+    discovery.next().answer(&list(3, false, &spoilt("draining")));
+    program.log("entries: 1, whole: false, seq: 3");
+}
+
 #[test]
 fn a_configuration_that_names_the_same_place_disturbs_no_watch() {
     let discovery = Standin::begin();
