Read a message on from where its last piece left it

A message that came in pieces was parsed from its start for each of them (`http::read`, `parse` and `chunks`). `Reader` keeps the head, the place in the chunks and how far the trailer was looked through. More than 64 bytes of empty lines before a message are refused: each was gone through anew too. The Content-Length and chunk checks are the old ones.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -9,8 +9,10 @@
 
 /// The largest body of the platform's messages.
 pub const MOST_BODY: usize = 64 * 1024;
-const MOST_HEAD: usize = 16 * 1024;
+pub const MOST_HEAD: usize = 16 * 1024;
 const MOST_HEADERS: usize = 64;
+/// Bytes of empty lines before a message.
+const MOST_BLANK: usize = 64;
 
 #[derive(Debug)]
 pub enum HttpError {
@@ -20,6 +22,8 @@
     TooLarge,
     /// It took longer to come in than it may.
     Late,
+    /// We end the connection before the message is whole.
+    Unwanted,
     Io(io::Error),
 }
 
@@ -30,6 +34,7 @@
             HttpError::Malformed(what) => write!(f, "malformed message: {what}"),
             HttpError::TooLarge => f.write_str("message too large"),
             HttpError::Late => f.write_str("the request did not come in in time"),
+            HttpError::Unwanted => f.write_str("the connection makes way, or the program ends"),
             HttpError::Io(e) => write!(f, "{e}"),
         }
     }
@@ -44,6 +49,7 @@
             HttpError::Malformed(_) => Some(400),
             HttpError::TooLarge => Some(413),
             HttpError::Late => Some(408),
+            HttpError::Unwanted => Some(503),
             HttpError::Ended | HttpError::Io(_) => None,
         }
     }
@@ -112,8 +118,9 @@
     kind: Kind,
     most_body: usize,
 ) -> Result<Message, HttpError> {
+    let mut reader = Reader::new(kind, most_body);
     loop {
-        if let Some(message) = parse(buffer.unread(), kind, most_body)? {
+        if let Some(message) = reader.read(buffer.unread())? {
             return Ok(message);
         }
         if buffer.fill(stream).await? == 0 {
@@ -124,8 +131,70 @@
 
 /// The message at the front of `bytes`, if it is whole.
 pub fn parse(bytes: &[u8], kind: Kind, most_body: usize) -> Result<Option<Message>, HttpError> {
+    Reader::new(kind, most_body).read(bytes)
+}
+
+/// How a message's body ends.
+#[derive(Clone, Copy)]
+enum Rest {
+    At(usize),
+    /// With the last chunk: what was read of them, their bytes so far, and how far the trailer was looked through.
+    Chunks {
+        at: usize,
+        total: usize,
+        looked: usize,
+    },
+}
+
+/// A message that comes in. Guards against work that grows with the square of its pieces: what was read of it is
+/// not read again for the next one.
+pub struct Reader {
+    kind: Kind,
+    most_body: usize,
+    seen: usize,
+    head: Option<(Message, Rest)>,
+}
+
+impl Reader {
+    pub fn new(kind: Kind, most_body: usize) -> Reader {
+        Reader { kind, most_body, seen: 0, head: None }
+    }
+
+    /// The head, once it is in.
+    pub fn head(&self) -> Option<&Message> {
+        self.head.as_ref().map(|(message, _)| message)
+    }
+
+    /// The message at the front of `bytes`, once it is whole. `bytes` are those of the call before, and more.
+    pub fn read(&mut self, bytes: &[u8]) -> Result<Option<Message>, HttpError> {
+        if self.head.is_none() {
+            // A head ends with a line; of a line's middle only a first piece shows anything.
+            let new = bytes.get(self.seen..).unwrap_or_default();
+            let worth = self.seen == 0 || new.contains(&b'\n') || bytes.len() > MOST_HEAD;
+            self.seen = bytes.len();
+            if worth {
+                self.head = read_head(bytes, self.kind, self.most_body)?;
+            }
+        }
+        let Some((message, rest)) = &mut self.head else { return Ok(None) };
+        let end = match rest {
+            Rest::At(end) => Some(*end).filter(|end| bytes.len() >= *end),
+            Rest::Chunks { at, total, looked } => {
+                chunks(bytes, (at, total, looked), &mut message.body, self.most_body)?
+            }
+        };
+        let Some(end) = end else { return Ok(None) };
+        message.length = end;
+        Ok(self.head.take().map(|(message, _)| message))
+    }
+}
+
+fn read_head(bytes: &[u8], kind: Kind, most_body: usize) -> Result<Option<(Message, Rest)>, HttpError> {
     // A client may send an empty line between requests.
     let skipped = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+    if skipped > MOST_BLANK {
+        return Err(HttpError::Malformed("empty lines"));
+    }
     let place = |s: &[u8]| {
         let at = s.as_ptr() as usize - bytes.as_ptr() as usize;
         at..at + s.len()
@@ -170,21 +239,17 @@
         return Err(HttpError::Malformed("both Content-Length and chunks"));
     }
     let start = skipped + head;
-    let (body, end) = if chunked {
-        let Some(found) = chunks(bytes, start, most_body)? else { return Ok(None) };
-        found
-    } else {
-        let n = length.unwrap_or(0);
-        if n > most_body {
-            return Err(HttpError::TooLarge);
-        }
-        if bytes.len() < start + n {
-            return Ok(None);
-        }
-        ((n > 0).then_some(start..start + n).into_iter().collect(), start + n)
+    let length = length.unwrap_or(0);
+    if length > most_body {
+        return Err(HttpError::TooLarge);
+    }
+    let rest = match chunked {
+        true => Rest::Chunks { at: start, total: 0, looked: 0 },
+        false => Rest::At(start + length),
     };
+    let body = (length > 0).then_some(start..start + length).into_iter().collect();
     let headers = fields.iter().map(|h| (place(h.name.as_bytes()), place(h.value))).collect();
-    Ok(Some(Message { method, path, status, headers, body, length: end, keep_alive }))
+    Ok(Some((Message { method, path, status, headers, body, length: 0, keep_alive }, rest)))
 }
 
 fn head(parsed: httparse::Result<usize>, bytes: &[u8]) -> Result<Option<usize>, HttpError> {
@@ -197,13 +262,16 @@
     }
 }
 
-type Body = (Vec<Range<usize>>, usize);
-
-/// The chunks from `at` on and the place after the last one, if all are there.
-fn chunks(bytes: &[u8], mut at: usize, most_body: usize) -> Result<Option<Body>, HttpError> {
-    let (mut body, mut total) = (Vec::new(), 0);
-    loop {
-        let rest = &bytes[at..];
+/// Read on from the chunk at `at`; the place after the last one, once all are there.
+fn chunks(
+    bytes: &[u8],
+    (at, total, looked): (&mut usize, &mut usize, &mut usize),
+    body: &mut Vec<Range<usize>>,
+    most_body: usize,
+) -> Result<Option<usize>, HttpError> {
+    // Behind the last chunk, only its trailer comes.
+    while *looked == 0 {
+        let rest = &bytes[*at..];
         let (skip, size) = match httparse::parse_chunk_size(rest) {
             Ok(httparse::Status::Complete(found)) => found,
             Ok(httparse::Status::Partial) if rest.len() > 256 => {
@@ -212,33 +280,37 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(HttpError::Malformed("chunk size")),
         };
-        at += skip;
+        let start = *at + skip;
         if size == 0 {
-            return trailer(bytes, at).map(|end| end.map(|end| (body, end)));
+            (*at, *looked) = (start, start);
+            break;
         }
-        total += usize::try_from(size).map_err(|_| HttpError::TooLarge)?.min(most_body + 1);
-        if total > most_body {
+        let size = usize::try_from(size).map_err(|_| HttpError::TooLarge)?;
+        if size > most_body - *total {
             return Err(HttpError::TooLarge);
         }
-        let end = at + size as usize;
+        let end = start + size;
         match bytes.get(end..end + 2) {
             None => return Ok(None),
             Some(b"\r\n") => {}
             Some(_) => return Err(HttpError::Malformed("chunk")),
         }
-        body.push(at..end);
-        at = end + 2;
+        body.push(start..end);
+        (*at, *total) = (end + 2, *total + size);
     }
+    trailer(bytes, *at, looked)
 }
 
 /// The place after the trailer that ends a chunked body.
-fn trailer(bytes: &[u8], at: usize) -> Result<Option<usize>, HttpError> {
+fn trailer(bytes: &[u8], at: usize, looked: &mut usize) -> Result<Option<usize>, HttpError> {
     let rest = &bytes[at..];
     if rest.starts_with(b"\r\n") {
         return Ok(Some(at + 2));
     }
-    match rest.windows(4).position(|w| w == b"\r\n\r\n") {
-        Some(n) => Ok(Some(at + n + 4)),
+    let from = looked.saturating_sub(3).max(at);
+    *looked = bytes.len();
+    match bytes[from..].windows(4).position(|w| w == b"\r\n\r\n") {
+        Some(n) => Ok(Some(from + n + 4)),
         None if rest.len() > MOST_HEAD => Err(HttpError::TooLarge),
         None => Ok(None),
     }
--- /dev/null
+++ b/tests/clients_pieces.rs
@@ -0,0 +1,70 @@
+//! Messages that come in pieces: the same as whole, and read with work in proportion.
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use futures_lite::{future, AsyncRead};
+use marlgap::net::buffer::Buffer;
+use marlgap::net::http::{self, HttpError, Kind, Message};
+
+/// Gives its bytes in pieces of a size.
+struct Pieces<'b>(&'b [u8], usize);
+
+impl AsyncRead for Pieces<'_> {
+    fn poll_read(mut self: Pin<&mut Self>, _: &mut Context<'_>, to: &mut [u8]) -> Poll<io::Result<usize>> {
+        let n = self.1.min(to.len()).min(self.0.len());
+        to[..n].copy_from_slice(&self.0[..n]);
+        self.0 = &self.0[n..];
+        Poll::Ready(Ok(n))
+    }
+}
+
+fn read(bytes: &[u8], size: usize) -> (Result<Message, HttpError>, Buffer) {
+    let (mut buffer, mut pieces) = (Buffer::default(), Pieces(bytes, size));
+    let read = http::read(&mut pieces, &mut buffer, Kind::Request, http::MOST_BODY);
+    let message = future::block_on(read);
+    (message, buffer)
+}
+
+#[test]
+fn pieces_make_the_message_that_the_whole_makes() {
+    let chunked = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (text, body) in [
+        ("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nab\r\nc".to_owned(), "ab\r\nc"),
+        (format!("\r\n{chunked}3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"), "abcde"),
+        (format!("{chunked}1\r\na\r\n0\r\nTrailer: t\r\nu: v\r\n\r\n"), "a"),
+        ("POST /a HTTP/1.1\r\n\r\n".to_owned(), ""),
+    ] {
+        for size in 1..=text.len() {
+            let (message, buffer) = read(text.as_bytes(), size);
+            let message = message.expect("sound");
+            assert_eq!(message.body(&buffer), body.as_bytes(), "{text} in pieces of {size}");
+            assert_eq!((message.length, message.text(&buffer, &message.path)), (text.len(), "/a"));
+        }
+    }
+    for bad in [format!("{chunked}1\r\nabc"), format!("{chunked}x"), "x x\r\n".into(), "\r\n".repeat(99)] {
+        for size in 1..=bad.len() {
+            let message = read(bad.as_bytes(), size).0;
+            assert!(
+                matches!(message, Err(HttpError::Malformed(_))),
+                "{bad} in pieces of {size}: {message:?}"
+            );
+        }
+    }
+}
+
+/// The largest body in chunks of a byte, a byte at a time: read anew for each piece it took minutes, of which a client
+/// gets two seconds and others the loss.
+#[test]
+fn a_body_in_the_smallest_pieces_takes_work_in_proportion() {
+    let mut text = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
+    text += &"1\r\nx\r\n".repeat(http::MOST_BODY);
+    text += "0\r\n";
+    text += &"a: b\r\n".repeat(2000);
+    text += "\r\n";
+    let begun = Instant::now();
+    let (message, buffer) = read(text.as_bytes(), 1);
+    assert_eq!(message.expect("sound").body(&buffer).len(), http::MOST_BODY);
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+}
