End every client's connection by a lingering close, and all before SIGKILL

Seen by tests over loopback, each red on the code before: - A resting or mute connection was ended by a plain drop (`Client::next`, serve's return): what its client had sent or sent then met a reset. Now one `leave` ends all that we end: shut our side, drain in bounds, close; nothing that is read behind the shutdown is served (a_resting_connection_ends_without_a_reset...). - Half a request at the end of service was waited for for 2 s and then got 408, or, making way in a crowd, no answer at all. Its rest has until the protocol's 0.7 s, then it is refused whole with 503; nothing of it was sent on (half_a_request_at_the_end..., a_connection_that_makes_way_with_half_a_request...). - A query with more time than SIGKILL leaves (longest deadline, at most 3 s, plus 0.7 s) was cut by it without an answer, and clients that don't read kept the program too. Queries that come after SIGTERM get their time cut, all are ended 0.1 s before, the program 0.05 s later (all_that_was_taken_is_answered_before_the_kill). - `Client::gone` waited for ever once 64 KiB stood behind a request: leaving was not seen. Now more than one message ahead is a flood: the query is withdrawn and answered 413 (a_flood_behind_a_request_hides_no_leaving). - 100 Continue was only sent where the head came in one piece (a_client_that_holds_its_body_back...). - A connection told to make way as its request came kept saying keep-alive and lost its drain; its answer now says that it closes. A drained one makes way after 10 ms. A failed accept makes room too. Errors have 0.5 s to leave.

Green before and after, as crossings: what_came_in_by_the_end_of_service..., a_request_whose_client_has_gone..., endless_and_unusable_input... `clients.rs` is split by concern; `STILL_COMING` is held to the protocol's figures by assertions.

--- a/src/main.rs
+++ b/src/main.rs
@@ -17,18 +17,16 @@
 use config::{Config, ConfigError};
 use marlgap::cli::{self, Cli, Command};
 use marlgap::core::{Core, Transport};
-use marlgap::interface::News;
-use marlgap::net::clients::{self, Acceptor, Closing};
+use marlgap::interface::{News, Settings};
+use marlgap::net::clients::{self, Acceptor, Closing, STILL_COMING};
 use marlgap::net::descriptors::Descriptors;
 use marlgap::net::discovery::Discovery;
 use marlgap::net::fleet::Fleet;
 use marlgap::net::front::Front;
 use marlgap::net::nodes::Nodes;
-use marlgap::net::{grpc, opensearch};
+use marlgap::net::{by, grpc, opensearch};
 use marlgap::operator::{Operator, OperatorError};
 
-/// After SIGTERM, new connections keep coming until the platform's front has noticed.
-const STILL_COMING: Duration = Duration::from_millis(550);
 /// Time between lines of counts.
 const COUNTS_EVERY: Duration = Duration::from_secs(10);
 /// Descriptors kept for the listeners, discovery, the log, files and the like.
@@ -86,6 +84,8 @@
     // The fronts of the operator's file keep theirs by themselves: the share that is always there for them.
     let apart = Descriptors::new(all);
     let mut accepted = Vec::new();
+    // SIGKILL goes by the platform's settings; nobody sends it where there is no platform.
+    let platform_longest = config.platform.as_ref().map(|p| longest(&p.told.settings));
     let (moved, moves) = async_channel::unbounded();
 
     if let Some(platform) = config.platform {
@@ -120,10 +120,10 @@
     // Made before the fronts, which ask it, and begun after them: they execute what it hands out.
     let listen_at = fleet.as_ref().map(|setup| setup.listen);
     let fleet = fleet.map(|setup| Fleet::new(&setup, &log));
-    let mut longest = 0.0f64;
+    let mut searching = Duration::ZERO;
 
     if let Some(setup) = query_api {
-        longest = setup.told.settings.classes.iter().map(|c| c.deadline).fold(longest, f64::max);
+        searching = longest(&setup.told.settings);
         let address = setup.listen;
         let front = opensearch::start(setup, config.seed, apart.kept(), &executor, &closing, &log)
             .map_err(ConfigError::Start)?;
@@ -181,28 +181,39 @@
         signal = signals.next().await;
     }
     let told_at = Instant::now();
-    closing.begun.set(true);
-    closing.wake.notify(usize::MAX);
+    closing.begin(told_at, platform_longest);
     let held: usize = accepted.iter().map(|(a, _)| a.held()).sum();
     info!(log, "stopping"; "signal" => ?signal.and_then(Result::ok), "connections" => held);
     Timer::at(told_at + STILL_COMING).await;
-    closing.idle.set(true);
-    closing.wake.notify(usize::MAX);
+    closing.rest_no_more();
     if let Some(fleet) = &fleet {
         fleet.leave();
     }
-    for (acceptor, task) in accepted {
-        task.await;
-        while acceptor.held() > 0 {
-            let freed = acceptor.freed.listen();
-            if acceptor.held() > 0 {
-                freed.await;
+    let ended = async {
+        for (acceptor, task) in accepted {
+            task.await;
+            while acceptor.held() > 0 {
+                let freed = acceptor.freed.listen();
+                if acceptor.held() > 0 {
+                    freed.await;
+                }
             }
         }
-    }
-    // What is executed here for clients of other members; at its end it is over, or another member's.
-    if let Some(fleet) = &fleet {
-        fleet.idle(told_at + Duration::try_from_secs_f64(longest).unwrap_or_default()).await;
+        // What is executed here for clients of other members; at its end it is over, or another member's.
+        if let Some(fleet) = &fleet {
+            fleet.idle(told_at.checked_add(searching).unwrap_or(told_at)).await;
+        }
+    };
+    // Guards the end against clients that don't read: SIGKILL would come before it.
+    let whole = match closing.end() {
+        Some(end) => by(end, ended).await.is_some(),
+        None => {
+            ended.await;
+            true
+        }
+    };
+    if !whole {
+        warn!(log, "connections left at the end");
     }
     info!(log, "stopped");
     // The log's last lines leave by a thread of their own; nobody waits for it longer than this.
@@ -210,6 +221,12 @@
     Ok(())
 }
 
+/// The longest deadline of all classes.
+fn longest(settings: &Settings) -> Duration {
+    let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    Duration::try_from_secs_f64(longest).unwrap_or(Duration::MAX)
+}
+
 fn listen(address: SocketAddr) -> Result<Async<TcpListener>, ConfigError> {
     clients::listen(address).map_err(|e| ConfigError::Listen(address, e))
 }
--- /dev/null
+++ b/src/net/clients/acceptor.rs
@@ -0,0 +1,229 @@
+//! Accepting clients, and the book of their connections: who makes way where all room is taken.
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use event_listener::Event as Wake;
+use futures_lite::FutureExt;
+use slog::{warn, Logger};
+
+use super::{Client, Closing};
+use crate::net::descriptors::Descriptors;
+use crate::net::{by, Ration};
+
+/// Connections that the machine may take for us before we accept them. Guards a client's against being dropped,
+/// and tried again by its machine a second later, when hundreds come at once.
+const BACKLOG: i32 = 1024;
+/// For how long a connection is left alone though others wait for room: one that rests between requests, and
+/// one whose first request is not in. Clients that have something to ask send it at once.
+const RESTED: Duration = Duration::from_secs(2);
+const MUTE: Duration = Duration::from_millis(250);
+/// And one that is drained: a way or two to its client and back, who hears of the end and closes.
+const DRAINED: Duration = Duration::from_millis(10);
+/// Time between looks for room where all connections are at work.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What a connection is doing, the first to be closed for room first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Doing {
+    /// Its last answer is written, or it was told that it ends.
+    Leaving,
+    /// Its first request is not in.
+    Mute,
+    /// Between requests.
+    Resting,
+    /// A request is being served, or a later one comes in.
+    Working,
+}
+
+/// What a connection was told for the sake of others.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Told {
+    Nothing,
+    /// End it as soon as nothing is asked on it.
+    MakeWay,
+    /// Drain it no longer.
+    Close,
+}
+
+/// A connection in the acceptor's book.
+pub(super) struct Seat {
+    doing: Cell<Doing>,
+    since: Cell<Instant>,
+    told: Cell<Told>,
+    wake: Wake,
+}
+
+impl Seat {
+    pub(super) fn doing(&self) -> Doing {
+        self.doing.get()
+    }
+
+    pub(super) fn set(&self, doing: Doing) {
+        self.doing.set(doing);
+        self.since.set(Instant::now());
+    }
+
+    /// From when on it may be told to end, or, where it is drained, to close.
+    fn spare(&self) -> Option<Instant> {
+        let since = self.since.get();
+        match (self.doing.get(), self.told.get()) {
+            (Doing::Working, _) | (_, Told::Close) => None,
+            (Doing::Leaving, _) => Some(since + DRAINED),
+            (_, Told::MakeWay) => None,
+            (Doing::Mute, _) => Some(since + MUTE),
+            (Doing::Resting, _) => Some(since + RESTED),
+        }
+    }
+
+    /// Whether it was told, and has only to do it.
+    fn ending(&self) -> bool {
+        self.told.get() == Told::MakeWay && self.doing.get() != Doing::Working
+    }
+
+    fn tell(&self) {
+        let leaving = self.doing.get() == Doing::Leaving;
+        self.told.set(if leaving { Told::Close } else { Told::MakeWay });
+        self.wake.notify(usize::MAX);
+    }
+
+    async fn told(&self, least: Told) {
+        while self.told.get() < least {
+            let listener = self.wake.listen();
+            if self.told.get() < least {
+                listener.await;
+            }
+        }
+    }
+
+    pub(super) fn wanted(&self) -> bool {
+        self.told.get() == Told::Nothing
+    }
+
+    pub(super) async fn unwanted(&self) {
+        self.told(Told::MakeWay).await;
+    }
+
+    pub(super) async fn closed(&self) {
+        self.told(Told::Close).await;
+    }
+}
+
+/// Accept connections up to a number, each served by a task of its own.
+pub struct Acceptor {
+    executor: Rc<LocalExecutor<'static>>,
+    closing: Rc<Closing>,
+    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    pub freed: Wake,
+    descriptors: Rc<Descriptors>,
+    /// Three quarters of the room are taken.
+    crowded: Rc<Cell<bool>>,
+    log: Logger,
+    said: Ration,
+}
+
+impl Acceptor {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        closing: Rc<Closing>,
+        descriptors: Rc<Descriptors>,
+        log: Logger,
+    ) -> Rc<Self> {
+        let (seats, freed, crowded, said) = Default::default();
+        Rc::new(Acceptor { executor, closing, seats, freed, descriptors, crowded, log, said })
+    }
+
+    /// Connections that are being served.
+    pub fn held(&self) -> usize {
+        self.seats.borrow().len()
+    }
+
+    fn count(&self) {
+        self.descriptors.hold(self.held());
+        self.crowded.set(4 * self.held() >= 3 * self.descriptors.most_clients());
+    }
+
+    /// Tell one to make way, the longest first, or to be drained no longer; for how long to wait for it then. While
+    /// one is on its way out no other one is told.
+    fn make_way(&self, now: Instant) -> Duration {
+        let seats = self.seats.borrow();
+        let ending = seats.values().any(|s| s.ending());
+        let spare = seats.values().filter(|s| s.spare().is_some_and(|at| at <= now));
+        let first = spare.min_by_key(|s| (s.doing.get(), s.since.get()));
+        match first.filter(|s| !ending || s.doing.get() == Doing::Leaving) {
+            Some(seat) => seat.tell(),
+            None if !ending => return LOOK,
+            None => {}
+        }
+        DRAINED
+    }
+
+    /// Wait for room, and make it. Guards against clients that keep their connections and ask no more, or
+    /// connect and say nothing: were they left to hold all there is, nobody else would be served.
+    async fn room(&self) {
+        while self.held() >= self.descriptors.most_clients() && !self.closing.is_idle() {
+            let (freed, now) = (self.freed.listen(), Instant::now());
+            let wait = self.make_way(now);
+            by(now + wait, freed.or(self.closing.idle())).await;
+        }
+    }
+
+    /// Accept until idle connections are closed; what the machine took for us by then is served too.
+    pub async fn accept<F>(self: Rc<Self>, listener: Async<TcpListener>, serve: impl Fn(Client) -> F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        for number in 0.. {
+            self.room().await;
+            let next = async { Some(listener.accept().await) };
+            let closed = async {
+                self.closing.idle().await;
+                None
+            };
+            match next.or(closed).await {
+                Some(Ok((stream, _))) => {
+                    drop(stream.get_ref().set_nodelay(true));
+                    let now = Instant::now();
+                    let (doing, since, told) =
+                        (Cell::new(Doing::Mute), Cell::new(now), Cell::new(Told::Nothing));
+                    let seat = Rc::new(Seat { doing, since, told, wake: Wake::new() });
+                    self.seats.borrow_mut().insert(number, seat.clone());
+                    self.count();
+                    let (closing, crowded) = (self.closing.clone(), self.crowded.clone());
+                    let served = serve(Client::new(stream, seat, closing, crowded, now));
+                    let acceptor = self.clone();
+                    let life = async move {
+                        served.await;
+                        acceptor.seats.borrow_mut().remove(&number);
+                        acceptor.count();
+                        acceptor.freed.notify(1);
+                    };
+                    self.executor.spawn(life).detach();
+                }
+                // Out of descriptors, or the peer was gone already: the next one may do better.
+                Some(Err(e)) => {
+                    if let Some(spared) = self.said.line() {
+                        warn!(self.log, "could not accept a connection"; "error" => %e, "spared" => spared);
+                    }
+                    let now = Instant::now();
+                    self.make_way(now);
+                    Timer::at(now + 2 * DRAINED).await;
+                }
+                None => return,
+            }
+        }
+    }
+}
+
+/// A listener for clients at `address`.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let listener = Async::<TcpListener>::bind(address)?;
+    rustix::net::listen(&listener, BACKLOG)?;
+    Ok(listener)
+}
--- /dev/null
+++ b/src/net/clients/closing.rs
@@ -0,0 +1,98 @@
+//! The end of service: told once, and seen by every connection.
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use event_listener::Event as Wake;
+
+/// The protocol's figures for a planned restart. What comes in later than `LATE` after SIGTERM is lost if SIGKILL
+/// finds it unanswered; SIGKILL comes no sooner than that much behind the longest deadline, which counts as
+/// `COUNTED` where it is longer; new connections keep coming for `NEW`.
+const LATE: Duration = Duration::from_millis(700);
+const COUNTED: Duration = Duration::from_secs(3);
+const NEW: Duration = Duration::from_millis(400);
+/// How long after SIGTERM connections are accepted, and rest: one that came last has its request in by then, and
+/// a query of the longest deadline taken then is still over before `LAST` begins.
+pub const STILL_COMING: Duration = Duration::from_millis(550);
+/// The time before SIGKILL in which nothing is waited for any more: answers leave, and the program ends.
+const LAST: Duration = Duration::from_millis(100);
+const _: () = assert!(NEW.as_millis() < STILL_COMING.as_millis());
+const _: () = assert!(STILL_COMING.as_millis() + LAST.as_millis() < LATE.as_millis());
+
+#[derive(Default)]
+pub struct Closing {
+    /// No new work is wanted: answers say that the connection closes.
+    pub begun: Cell<bool>,
+    /// Connections between requests are closed.
+    idle: Cell<bool>,
+    /// Until when the rest of a request may come in, and until when one that was taken is worked at.
+    late: Cell<Option<Instant>>,
+    over: Cell<Option<Instant>>,
+    wake: Wake,
+}
+
+impl Closing {
+    /// SIGTERM came at `now`. Where SIGKILL goes by it, `longest` is the longest deadline of all classes.
+    pub fn begin(&self, now: Instant, longest: Option<Duration>) {
+        self.begun.set(true);
+        self.late.set(Some(now + LATE));
+        self.over.set(longest.map(|longest| now + longest.min(COUNTED) + LATE - LAST));
+        self.wake.notify(usize::MAX);
+    }
+
+    /// Connections are no longer accepted, nor may they rest.
+    pub fn rest_no_more(&self) {
+        self.idle.set(true);
+        self.wake.notify(usize::MAX);
+    }
+
+    async fn until(&self, told: impl Fn() -> bool) {
+        while !told() {
+            let listener = self.wake.listen();
+            if !told() {
+                listener.await;
+            }
+        }
+    }
+
+    /// Resolves once no new work is wanted.
+    pub async fn told(&self) {
+        self.until(|| self.begun.get()).await;
+    }
+
+    pub(super) async fn idle(&self) {
+        self.until(|| self.idle.get()).await;
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.idle.get()
+    }
+
+    async fn at(&self, time: &Cell<Option<Instant>>) {
+        self.until(|| time.get().is_some()).await;
+        if let Some(time) = time.get() {
+            Timer::at(time).await;
+        }
+    }
+
+    /// Resolves once the rest of a request need not be waited for any more.
+    pub(super) async fn late(&self) {
+        self.at(&self.late).await;
+    }
+
+    /// Resolves once what was taken has to be answered, finished or not. Guards against a query with more time
+    /// than SIGKILL leaves us: it would get no answer at all.
+    pub async fn over(&self) {
+        self.at(&self.over).await;
+    }
+
+    /// A deadline, cut to the time that is left.
+    pub fn cut(&self, deadline: Instant) -> Instant {
+        self.over.get().map_or(deadline, |over| deadline.min(over))
+    }
+
+    /// By when the program is to have ended.
+    pub fn end(&self) -> Option<Instant> {
+        self.over.get().map(|over| over + LAST / 2)
+    }
+}
--- /dev/null
+++ b/src/net/clients/mod.rs
@@ -0,0 +1,212 @@
+//! What both fronts share: accepting clients, reading their requests and writing their answers.
+mod acceptor;
+mod closing;
+
+use std::cell::Cell;
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Async;
+use futures_lite::{AsyncWriteExt, FutureExt};
+
+use self::acceptor::{Doing, Seat};
+use super::buffer::Buffer;
+use super::by;
+use super::http::{self, Answer, HttpError, Kind, Message, Reader};
+pub use acceptor::{listen, Acceptor};
+pub use closing::{Closing, STILL_COMING};
+
+/// How long a connection may rest between requests, and an answer may take to leave.
+const IDLE: Duration = Duration::from_secs(60);
+const LEAVE: Duration = Duration::from_secs(5);
+/// How long a request may take to come in: the first one from the connection's start on, a later one from its
+/// first byte. Who sends nothing or trickles is owed an error or a close within `OWED`, and may have
+/// waited to be accepted; the error may take `LEAVE_ERROR`, where its client does not read.
+const ARRIVE: Duration = Duration::from_secs(2);
+const LEAVE_ERROR: Duration = Duration::from_millis(500);
+const OWED: Duration = Duration::from_secs(3);
+const _: () = assert!(ARRIVE.as_millis() + LEAVE_ERROR.as_millis() < OWED.as_millis());
+/// How long, and for how much, the input is drained behind our end of a connection.
+const LINGER: Duration = Duration::from_secs(1);
+const MOST_LINGER: usize = 256 * 1024;
+/// What a client may send behind a request before it has the answer: one more request. More is a flood, and would
+/// hide from us that its client has gone.
+const AHEAD: usize = http::MOST_HEAD + http::MOST_BODY;
+
+/// A client's connection.
+pub struct Client {
+    stream: Async<TcpStream>,
+    pub buffer: Buffer,
+    seat: Rc<Seat>,
+    closing: Rc<Closing>,
+    crowded: Rc<Cell<bool>>,
+    accepted: Instant,
+    /// Whether a request of its has come in.
+    asked: bool,
+}
+
+impl Client {
+    fn new(
+        stream: Async<TcpStream>,
+        seat: Rc<Seat>,
+        closing: Rc<Closing>,
+        crowded: Rc<Cell<bool>>,
+        accepted: Instant,
+    ) -> Client {
+        Client { stream, buffer: Buffer::default(), seat, closing, crowded, accepted, asked: false }
+    }
+
+    /// The bytes themselves, for a front that frames them by itself.
+    pub fn stream(&self) -> &Async<TcpStream> {
+        &self.stream
+    }
+
+    /// Since when it is there.
+    pub fn accepted(&self) -> Instant {
+        self.accepted
+    }
+
+    /// Whether it is being served, told by a front that reads by itself: one that is not may have to make way.
+    pub fn busy(&self, busy: bool) {
+        let doing = if busy { Doing::Working } else { Doing::Resting };
+        if self.seat.doing() != doing {
+            self.seat.set(doing);
+        }
+    }
+
+    /// Resolves when it has to make way for others.
+    pub async fn unwanted(&self) {
+        self.seat.unwanted().await;
+    }
+
+    /// Read the next request, unless the connection ends, says nothing for long, or is closed between requests.
+    pub async fn next(&mut self) -> Result<Message, HttpError> {
+        // A line end behind a request's body is no request that begins.
+        if self.buffer.unread().iter().all(|b| matches!(b, b'\r' | b'\n')) {
+            self.buffer.consume(usize::MAX);
+        }
+        if self.buffer.unread().is_empty() {
+            self.some().await?;
+        }
+        self.whole().await
+    }
+
+    /// Wait for the first bytes of a request. What came in before the end of a rest was decided is read, and so
+    /// served; from then on nothing is: its client hears of the end, and asks again elsewhere.
+    async fn some(&mut self) -> Result<(), HttpError> {
+        let first = !self.asked;
+        self.seat.set(if first { Doing::Mute } else { Doing::Resting });
+        let latest = if first { self.accepted + ARRIVE } else { Instant::now() + IDLE };
+        let Client { stream, buffer, seat, closing, .. } = self;
+        let some = async { Some(buffer.fill(&mut &*stream).await) };
+        let closed = async {
+            closing.idle().or(seat.unwanted()).await;
+            None
+        };
+        match by(latest, some.or(closed)).await.flatten() {
+            Some(Ok(n)) if n > 0 => Ok(()),
+            Some(_) => Err(HttpError::Ended),
+            None => {
+                self.leave().await;
+                Err(HttpError::Ended)
+            }
+        }
+    }
+
+    /// The request whose first bytes are in. From here on its client gets an answer, whatever comes.
+    async fn whole(&mut self) -> Result<Message, HttpError> {
+        let first = !self.asked;
+        // The time is set by the connection's start or the first byte: guards against trickled requests.
+        let latest = if first { self.accepted } else { Instant::now() } + ARRIVE;
+        if !first {
+            self.seat.set(Doing::Working);
+        }
+        let Client { stream, buffer, seat, closing, .. } = self;
+        let mut stream = &*stream;
+        let whole = async {
+            let (mut reader, mut waits) = (Reader::new(Kind::Request, http::MOST_BODY), true);
+            loop {
+                if let Some(message) = reader.read(buffer.unread())? {
+                    return Ok(message);
+                }
+                // Guards old clients, which hold a body back until they are told to go on, against the second
+                // or so that they would wait for that in vain, out of their query's time.
+                if let Some(head) = reader.head().filter(|_| waits) {
+                    waits = false;
+                    let expects = head.header(buffer, "Expect");
+                    if expects.is_some_and(|v| v.eq_ignore_ascii_case("100-continue")) {
+                        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                    }
+                }
+                if buffer.fill(&mut stream).await? == 0 {
+                    return Err(HttpError::Ended);
+                }
+            }
+        };
+        let closed = async {
+            closing.late().or(seat.unwanted()).await;
+            Err(HttpError::Unwanted)
+        };
+        let message = by(latest, whole.or(closed)).await.unwrap_or(Err(HttpError::Late));
+        if message.is_ok() {
+            self.asked = true;
+            self.seat.set(Doing::Working);
+        }
+        message
+    }
+
+    /// Resolves when the client goes away, or floods us. What it sends meanwhile stays in the buffer.
+    pub async fn gone(&mut self, length: usize) -> HttpError {
+        while self.buffer.unread().len() <= length + AHEAD {
+            match self.buffer.fill(&mut &self.stream).await {
+                Ok(n) if n > 0 => {}
+                _ => return HttpError::Ended,
+            }
+        }
+        HttpError::TooLarge
+    }
+
+    /// Write an answer; whether the connection can go on. Where it cannot, the answer is its last. Guards the room
+    /// for connections: in a crowd of clients that keep theirs, each answer says that the connection closes, which
+    /// the client hears of in time; one that rests could only be closed after a while, and might cross a request.
+    pub async fn write(&mut self, answer: &Answer, keep_alive: bool) -> bool {
+        let stays = !self.closing.begun.get() && !self.crowded.get() && self.seat.wanted();
+        self.send(answer, keep_alive && stays, LEAVE).await
+    }
+
+    /// Write what is wrong with the client's bytes, and end the connection.
+    pub async fn write_error(&mut self, answer: &Answer) {
+        self.send(answer, false, LEAVE_ERROR).await;
+    }
+
+    async fn send(&mut self, answer: &Answer, keep_alive: bool, leave: Duration) -> bool {
+        let bytes = answer.bytes(keep_alive);
+        let written = by(Instant::now() + leave, (&self.stream).write_all(&bytes)).await;
+        if matches!(written, Some(Ok(()))) && !keep_alive {
+            self.leave().await;
+        }
+        matches!(written, Some(Ok(()))) && keep_alive
+    }
+
+    /// End the connection: the one way for all that we end by ourselves, a lingering close. Guards the last answer: a
+    /// close with input unread would reset the connection, and the client might lose what it has not read yet. What
+    /// still comes is dropped, in bounds, and never served: its client has been told by then.
+    async fn leave(&mut self) {
+        let Client { stream, buffer, seat, .. } = self;
+        seat.set(Doing::Leaving);
+        drop(stream.get_ref().shutdown(Shutdown::Write));
+        let mut stream = &*stream;
+        let drained = async {
+            let mut drained = 0;
+            while drained < MOST_LINGER {
+                buffer.consume(usize::MAX);
+                match buffer.fill(&mut stream).await {
+                    Ok(n) if n > 0 => drained += n,
+                    _ => return,
+                }
+            }
+        };
+        by(Instant::now() + LINGER, drained.or(seat.closed())).await;
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -12,7 +12,7 @@
 
 use super::buffer::Buffer;
 use super::clients::{Client, Closing};
-use super::http::{Answer, Message};
+use super::http::{Answer, HttpError, Message};
 use super::nodes::{Carried, Nodes};
 use super::Ration;
 use crate::core::{Core, Final, Query};
@@ -102,12 +102,13 @@
                         if let Some(spared) = self.said.bad.line() {
                             warn!(self.log, "unusable request"; "error" => %e, "spared" => spared);
                         }
-                        client.write(&Answer::new(status, fault(&e)), false).await;
+                        client.write_error(&Answer::new(status, fault(&e))).await;
                     }
                     return;
                 }
             };
             let begun = Instant::now();
+            let mut flooded = false;
             let answer = match (
                 message.text(&client.buffer, &message.method),
                 message.text(&client.buffer, &message.path),
@@ -120,46 +121,12 @@
                         }
                         Answer::new(if matches!(bad, Bad::Open) { 409 } else { 400 }, fault(&bad))
                     }
-                    Ok((query, _open)) => match self.core.take(query) {
-                        None => {
-                            if let Some(spared) = self.said.refused.line() {
-                                info!(self.log, "refused"; "why" => "as much is open as may be",
-                                    "class" => message.header(&client.buffer, "Req-Kind"), "spared" => spared,
-                                    "open" => self.core.open(), "held" => self.core.held());
-                            }
-                            self.refused(429, self.told.settings.retry_after)
-                        }
-                        Some(taken) => {
-                            if let Some(spared) = self.core.full().then(|| self.said.refused.line()).flatten()
-                            {
-                                info!(self.log, "no room for another query"; "open" => self.core.open(),
-                                    "held" => self.core.held(), "spared" => spared);
-                            }
-                            let ended = async { Some(taken.outcome().await) };
-                            let left = async {
-                                client.gone(message.length).await;
-                                None
-                            };
-                            match ended.or(left).await {
-                                Some(outcome) => {
-                                    let bare = !matches!(outcome, Final::Answered { .. });
-                                    if let Some(spared) = bare.then(|| self.said.unanswered.line()).flatten()
-                                    {
-                                        info!(self.log, "not answered"; "outcome" => ?outcome,
-                                            "class" => message.header(&client.buffer, "Req-Kind"),
-                                            "after_ms" => begun.elapsed().as_millis() as u64, "spared" => spared);
-                                    }
-                                    self.answer(&outcome)
-                                }
-                                // Dropping what was taken withdraws it.
-                                None => {
-                                    if let Some(spared) = self.said.gone.line() {
-                                        info!(self.log, "client gone"; "class" => message.header(&client.buffer, "Req-Kind"),
-                                            "after_ms" => begun.elapsed().as_millis() as u64, "spared" => spared);
-                                    }
-                                    return;
-                                }
-                            }
+                    Ok((query, _open)) => match self.outcome(query, &mut client, &message, begun).await {
+                        Ok(answer) => answer,
+                        Err(HttpError::Ended) => return,
+                        Err(e) => {
+                            flooded = true;
+                            Answer::new(e.status().unwrap_or(400), fault(&e))
                         }
                     },
                 },
@@ -167,12 +134,60 @@
                 _ => Answer::new(404, fault(&"no such path")),
             };
             client.buffer.consume(message.length);
-            if !client.write(&answer, message.keep_alive).await {
+            if !client.write(&answer, message.keep_alive && !flooded).await {
                 return;
             }
         }
     }
 
+    /// The answer to a query; `Err` where its client left before, or floods us, and nothing more is done for it.
+    async fn outcome(
+        &self,
+        query: Query<Carried>,
+        client: &mut Client,
+        message: &Message,
+        begun: Instant,
+    ) -> Result<Answer, HttpError> {
+        let query = Query { deadline: self.closing.cut(query.deadline), ..query };
+        let class = message.header(&client.buffer, "Req-Kind").unwrap_or_default().to_owned();
+        let Some(taken) = self.core.take(query) else {
+            if let Some(spared) = self.said.refused.line() {
+                info!(self.log, "refused"; "why" => "as much is open as may be", "class" => class,
+                    "spared" => spared, "open" => self.core.open(), "held" => self.core.held());
+            }
+            return Ok(self.refused(429, self.told.settings.retry_after));
+        };
+        if let Some(spared) = self.core.full().then(|| self.said.refused.line()).flatten() {
+            info!(self.log, "no room for another query"; "open" => self.core.open(),
+                "held" => self.core.held(), "spared" => spared);
+        }
+        let ended = async { Ok(taken.outcome().await) };
+        let over = async {
+            self.closing.over().await;
+            Ok(Final::Overdue)
+        };
+        let left = async { Err(client.gone(message.length).await) };
+        // Dropping what was taken withdraws it.
+        let outcome = ended.or(left).or(over).await;
+        let after = begun.elapsed().as_millis() as u64;
+        match &outcome {
+            Ok(Final::Answered { .. }) => {}
+            Ok(outcome) => {
+                if let Some(spared) = self.said.unanswered.line() {
+                    info!(self.log, "not answered"; "outcome" => ?outcome, "class" => class,
+                        "after_ms" => after, "spared" => spared);
+                }
+            }
+            Err(e) => {
+                if let Some(spared) = self.said.gone.line() {
+                    info!(self.log, "client gone"; "error" => %e, "class" => class, "after_ms" => after,
+                        "spared" => spared);
+                }
+            }
+        }
+        Ok(self.answer(&outcome?))
+    }
+
     /// Ready once queries can be served.
     fn health(&self) -> Answer {
         let ready = self.core.ready() && !self.closing.begun.get();
--- a/src/net/opensearch/front.rs
+++ b/src/net/opensearch/front.rs
@@ -16,7 +16,7 @@
 use crate::interface::*;
 use crate::net::buffer::Buffer;
 use crate::net::clients::{Client, Closing};
-use crate::net::http::{Answer, Message};
+use crate::net::http::{Answer, HttpError, Message};
 use crate::net::Ration;
 use crate::settings::Deployment;
 
@@ -57,54 +57,59 @@
                         let kind = match status {
                             413 => "content_too_long_exception",
                             408 => "timeout_exception",
+                            503 => "rejected_execution_exception",
                             _ => "parse_exception",
                         };
-                        client.write(&error(status, kind, &e.to_string()), false).await;
+                        client.write_error(&error(status, kind, &e.to_string())).await;
                     }
                     return;
                 }
             };
+            let mut flooded = false;
             let answer = match self.ready(&message, &client.buffer, Instant::now()) {
                 Err(answer) => answer,
                 Ok(ready) => match self.search(&mut client, &message, ready).await {
-                    Some(answer) => answer,
+                    Ok(answer) => answer,
                     // Nothing is written, now or later.
-                    None => return,
+                    Err(HttpError::Ended) => return,
+                    Err(e) => {
+                        flooded = true;
+                        error(e.status().unwrap_or(400), "content_too_long_exception", &e.to_string())
+                    }
                 },
             };
             client.buffer.consume(message.length);
-            if !client.write(&answer, message.keep_alive).await {
+            if !client.write(&answer, message.keep_alive && !flooded).await {
                 return;
             }
         }
     }
 
-    /// The answer to a search; `None` where its client left before.
-    async fn search(&self, client: &mut Client, message: &Message, ready: Ready) -> Option<Answer> {
+    /// The answer to a search; `Err` where its client left before, or floods us.
+    async fn search(
+        &self,
+        client: &mut Client,
+        message: &Message,
+        ready: Ready,
+    ) -> Result<Answer, HttpError> {
         if let Some((fleet, ask)) = self.protected(message, &client.buffer, &ready) {
-            let asked = async { Some(self.asked(&fleet, ask, ready.deadline).await) };
-            let left = async {
-                client.gone(message.length).await;
-                None
-            };
+            let asked = async { Ok(self.asked(&fleet, ask, ready.deadline).await) };
+            let left = async { Err(client.gone(message.length).await) };
             // What its client leaves goes on in the fleet.
             if let Some(answer) = asked.or(left).await? {
-                return Some(answer);
+                return Ok(answer);
             }
         }
         let Ready { search, notes, parts, begun, deadline, query } = ready;
         let Some(taken) = self.core.take(query) else {
-            return Some(self.refused("too many searches are open"));
-        };
-        let ended = async { Some(taken.outcome().await) };
-        let left = async {
-            client.gone(message.length).await;
-            None
+            return Ok(self.refused("too many searches are open"));
         };
+        let ended = async { Ok(taken.outcome().await) };
+        let left = async { Err(client.gone(message.length).await) };
         // Dropping what was taken withdraws it.
         let outcome = ended.or(left).await?;
         let notes = notes.borrow();
-        Some(self.ended(&search, &outcome, &notes, &parts, begun, deadline))
+        Ok(self.ended(&search, &outcome, &notes, &parts, begun, deadline))
     }
 
     /// What to do with a request: a search to be taken, or the answer that it gets at once.
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,258 @@
+//! Clients' connections, where their bytes or their end cross an end of ours: each gets a whole answer or an end that
+//! is no reset, and nothing is sent for one that has gone.
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: t\r\n\r\n";
+
+fn start(name: &str, willing: bool) -> (Node, Program) {
+    let node = Node::start(willing);
+    let program = Program::start(&configure(name, &[node.address], node.address, 1, 75), false);
+    (node, program)
+}
+
+fn send(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).expect("written");
+}
+
+/// A client whose connection rests.
+fn resting(program: &Program) -> TcpStream {
+    let mut client = connect(program.address);
+    send(&mut client, HEALTH);
+    assert_eq!(status(&mut client), 200);
+    client
+}
+
+/// Nobody resets a connection that rests: its client hears of the end, and what it sent by then is read and dropped.
+#[test]
+fn a_resting_connection_ends_without_a_reset_and_serves_nothing_behind_its_end() {
+    let (node, program) = start("clients_rest", true);
+    let mut client = resting(&program);
+    program.signal("-TERM");
+    ends(&mut client);
+    send(&mut client, &query("late", "field-lookup", 4000));
+    // Behind its last byte it can be read whole, and must not be reset.
+    client.shutdown(std::net::Shutdown::Write).expect("shut");
+    ends(&mut client);
+    program.log("stopped");
+    assert!(!node.frames.try_iter().any(|f| f.starts_with("q late.")), "sent on behind the end");
+}
+
+/// Bytes that come in while the program can't run, over the moment in which it ends resting connections: whichever
+/// it finds first, they are answered whole or not read at all. Those of connections not accepted yet are answered.
+#[test]
+fn what_came_in_by_the_end_of_service_is_answered_or_unread() {
+    let (_node, program) = start("clients_cross", true);
+    let mut rested: Vec<_> = (0..8).map(|_| resting(&program)).collect();
+    program.signal("-TERM");
+    program.log("stopping");
+    program.signal("-STOP");
+    for (n, client) in rested.iter_mut().enumerate() {
+        send(client, &query(&format!("r{n}"), "field-lookup", 4000));
+    }
+    let mut new: Vec<_> = (0..8).map(|_| connect(program.address)).collect();
+    for (n, client) in new.iter_mut().enumerate() {
+        send(client, &query(&format!("n{n}"), "field-lookup", 4000));
+    }
+    program.signal("-TERM");
+    // Now the end of rest and all these bytes are there at once.
+    std::thread::sleep(Duration::from_millis(600));
+    program.signal("-CONT");
+    for client in &mut new {
+        assert_eq!(status(client), 200);
+        ends(client);
+    }
+    for client in &mut rested {
+        match read_http(client) {
+            Some(answer) => assert!(answer.starts_with("HTTP/1.1 200"), "{answer}"),
+            None => ends(client),
+        }
+    }
+    program.log("stopped");
+}
+
+/// Half a request when service ends: its rest may still come, and is answered; where it doesn't, that is.
+#[test]
+fn half_a_request_at_the_end_of_service_gets_a_whole_answer() {
+    let (_node, program) = start("clients_half", true);
+    let (mut rests, mut goes_on, mut stops) = (resting(&program), resting(&program), resting(&program));
+    let text = query("whole", "field-lookup", 4000);
+    send(&mut goes_on, &text[..text.len() - 9]);
+    send(&mut stops, &query("half", "field-lookup", 4000)[..40]);
+    resting(&program);
+    let told = Instant::now();
+    program.signal("-TERM");
+    ends(&mut rests);
+    send(&mut goes_on, &text[text.len() - 9..]);
+    // Its last byte may come too late on a slow machine: then it is refused, and whole all the same.
+    assert!(matches!(status(&mut goes_on), 200 | 503));
+    ends(&mut goes_on);
+    assert_eq!(status(&mut stops), 503);
+    ends(&mut stops);
+    drop((goes_on, stops, rests));
+    program.log("stopped");
+    assert!(told.elapsed() < Duration::from_millis(3700));
+}
+
+/// A query with more time than SIGKILL leaves gets its answer before that, and the program ends before it: here the
+/// longest deadline is 8 s, which counts as 3 s, and SIGKILL may come 0.7 s behind that.
+#[test]
+fn all_that_was_taken_is_answered_before_the_kill() {
+    let (node, mut program) = start("clients_kill", false);
+    let mut before = connect(program.address);
+    send(&mut before, &query("before", "overlap-check", 8000));
+    node.frame("q before.", &[]);
+    let mut rests = resting(&program);
+    // One that never reads its answers must not keep the program either.
+    let mut deaf = connect(program.address);
+    let told = Instant::now();
+    program.signal("-TERM");
+    program.log("stopping");
+    send(&mut rests, &query("after", "overlap-check", 8000));
+    send(&mut deaf, &query("deaf", "overlap-check", 8000));
+    let statuses = [status(&mut before), status(&mut rests)];
+    assert!(statuses.iter().all(|s| *s >= 500), "{statuses:?}");
+    program.log("stopped");
+    assert!(program.child.wait().expect("ended").success());
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
+}
+
+/// A client that sends much behind its request is answered at once, and one that leaves behind that is seen to.
+#[test]
+fn a_flood_behind_a_request_hides_no_leaving() {
+    let (node, program) = start("clients_flood", false);
+    for (id, goes) in [("stays", false), ("goes", true)] {
+        let mut client = connect(program.address);
+        send(&mut client, &query(id, "overlap-check", 8000));
+        node.frame(&format!("q {id}."), &[]);
+        // The machine takes some; the rest may meet the end.
+        let _ = client.write_all(&vec![b'x'; 200 * 1024]);
+        match goes {
+            true => drop(client),
+            false => assert_eq!(status(&mut client), 413),
+        }
+        node.frame(&format!("c {id}."), &[]);
+    }
+    // The next one is served as ever.
+    node.willing.store(true, Ordering::SeqCst);
+    let mut client = connect(program.address);
+    send(&mut client, &query("next", "field-lookup", 4000));
+    assert_eq!(status(&mut client), 200);
+}
+
+/// Requests whose clients have gone by the time they are read, on a new connection and on one that rested, alone and
+/// with another request behind: nothing is sent on. What comes later shows that the time for it was over.
+#[test]
+fn a_request_whose_client_has_gone_is_not_sent_on() {
+    let (node, program) = start("clients_gone", true);
+    let (mut rested, mut pipelined) = (resting(&program), resting(&program));
+    program.signal("-STOP");
+    let mut new = connect(program.address);
+    send(&mut rested, &query("rested", "field-lookup", 4000));
+    send(&mut new, &query("new", "field-lookup", 4000));
+    let two = query("first", "field-lookup", 4000) + &query("second", "field-lookup", 4000);
+    send(&mut pipelined, &two);
+    drop((rested, new, pipelined));
+    let mut next = connect(program.address);
+    send(&mut next, &query("next", "field-lookup", 4000));
+    program.signal("-CONT");
+    assert_eq!(status(&mut next), 200);
+    node.frame("q next.", &["rested", "new", "first", "second"]);
+    // Once more, for what might have been written behind it.
+    send(&mut next, &query("last", "field-lookup", 4000));
+    assert_eq!(status(&mut next), 200);
+    node.frame("q last.", &["rested", "new", "first", "second"]);
+}
+
+/// In a crowd a connection whose first request is half in makes way with an answer, and others get its room.
+#[test]
+fn a_connection_that_makes_way_with_half_a_request_is_answered() {
+    let node = Node::start(true);
+    let folder = configure("clients_crowd", &[node.address], node.address, 1, 75);
+    let path = folder.join("config.json");
+    let text = std::fs::read_to_string(&path).expect("read");
+    // 16 descriptors for the front, a quarter of them for data nodes.
+    std::fs::write(&path, text.replace("\"sockets\":1024", "\"sockets\":48")).expect("written");
+    let program = Program::start(&folder, false);
+    let mut half = connect(program.address);
+    send(&mut half, &query("half", "field-lookup", 4000)[..40]);
+    let mut mute: Vec<_> = (0..11).map(|_| connect(program.address)).collect();
+    let mut asks: Vec<_> = (0..4).map(|_| connect(program.address)).collect();
+    for (n, client) in asks.iter_mut().enumerate() {
+        send(client, &query(&format!("a{n}"), "field-lookup", 4000));
+    }
+    assert_eq!(status(&mut half), 503);
+    ends(&mut half);
+    for client in &mut asks {
+        assert_eq!(status(client), 200);
+    }
+    // Those that said nothing hear of their end, and of nothing else.
+    ends(&mut mute[0]);
+}
+
+/// A body that is held back until it is asked for, behind a head in two pieces.
+#[test]
+fn a_client_that_holds_its_body_back_is_told_to_go_on() {
+    let (_node, program) = start("clients_continue", true);
+    let mut client = connect(program.address);
+    let text = query("holds", "field-lookup", 4000).replace("Host: t", "Expect: 100-continue");
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    send(&mut client, &head[..30]);
+    // These are served behind the first piece.
+    drop((resting(&program), resting(&program)));
+    send(&mut client, &format!("{}\r\n\r\n", &head[30..]));
+    assert_eq!(status(&mut client), 100);
+    send(&mut client, body);
+    assert_eq!(status(&mut client), 200);
+}
+
+/// Bad input gets an error or an end within three seconds, and costs nobody else an answer.
+#[test]
+fn endless_and_unusable_input_ends_in_time() {
+    let (_node, program) = start("clients_bad", true);
+    let endless = |text: String| {
+        let address = program.address;
+        std::thread::spawn(move || {
+            let (mut client, begun) = (connect(address), Instant::now());
+            let mut writes = client.try_clone().expect("cloned");
+            let writer = std::thread::spawn(move || {
+                while begun.elapsed() < PATIENCE / 4 && writes.write_all(text.as_bytes()).is_ok() {}
+            });
+            // An answer, an end or a reset; whichever, in time.
+            let answer = read_http(&mut client);
+            let took = begun.elapsed();
+            drop(client.shutdown(std::net::Shutdown::Both));
+            writer.join().expect("ended");
+            (answer, took)
+        })
+    };
+    let chunked = "POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let bad = [
+        "\r\n".to_owned(),
+        "x".to_owned(),
+        "GET / HTTP/1.1\r\na: b\r\n".to_owned(),
+        format!("POST /api HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n{}", "x".repeat(2000)),
+        format!("{chunked}{}", "1\r\nx\r\n".repeat(500)),
+        "\0\u{1}\u{16}".to_owned(),
+    ];
+    let bad: Vec<_> = bad.into_iter().map(endless).collect();
+    let mut mute = connect(program.address);
+    let begun = Instant::now();
+    let mut client = resting(&program);
+    for n in 0..50 {
+        send(&mut client, &query(&format!("q{n}"), "field-lookup", 4000));
+        assert_eq!(status(&mut client), 200);
+    }
+    ends(&mut mute);
+    assert!(begun.elapsed() < Duration::from_secs(3));
+    for (n, bad) in bad.into_iter().enumerate() {
+        let (answer, took) = bad.join().expect("ran");
+        assert!(took < Duration::from_secs(3), "{n}: {took:?} {answer:?}");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -210,3 +210,73 @@
     let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
     (head[9..12].parse().expect("a status"), body.to_owned())
 }
+
+/// A data node that tells each frame it gets, and serves each part while it is willing to.
+pub struct Node {
+    pub address: SocketAddr,
+    pub frames: Receiver<String>,
+    pub willing: std::sync::Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl Node {
+    pub fn start(willing: bool) -> Node {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+        let address = listener.local_addr().expect("bound");
+        let willing = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(willing));
+        let (told, frames) = channel();
+        let serves = willing.clone();
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let (told, serves) = (told.clone(), serves.clone());
+                std::thread::spawn(move || {
+                    while let Some(message) = read_frame(&mut stream) {
+                        let id = message.strip_prefix("q ").and_then(|m| m.split(' ').next());
+                        let served = id.filter(|_| serves.load(std::sync::atomic::Ordering::SeqCst));
+                        let answer = served.map(|id| frame(&format!("a {id} served 1 -\nV")));
+                        let _ = told.send(message);
+                        if answer.is_some_and(|a| stream.write_all(&a).is_err()) {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Node { address, frames, willing }
+    }
+
+    /// Wait for the frame that begins like this; none of the queries in `never` may come before it.
+    pub fn frame(&self, begins: &str, never: &[&str]) {
+        let latest = std::time::Instant::now() + PATIENCE / 5;
+        loop {
+            let left = latest.saturating_duration_since(std::time::Instant::now());
+            let frame = self.frames.recv_timeout(left).unwrap_or_else(|e| panic!("no '{begins}': {e}"));
+            assert!(!never.iter().any(|n| frame.starts_with(&format!("q {n}."))), "{frame}");
+            if frame.starts_with(begins) {
+                return;
+            }
+        }
+    }
+}
+
+/// The bytes of a query for one tablet.
+pub fn query(id: &str, kind: &str, wait: u32) -> String {
+    let body = r#"{"tablets":[{"tablet":0,"fraction":1}],"statement":"s"}"#;
+    format!(
+        "POST /api HTTP/1.1\r\nHost: t\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline-Ms: {wait}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The status of the next answer, which must come whole.
+pub fn status(stream: &mut TcpStream) -> u16 {
+    let answer = read_http(stream).expect("a whole answer");
+    answer[9..12].parse().expect("a status")
+}
+
+/// The connection must end here, and not be reset.
+pub fn ends(stream: &mut TcpStream) {
+    let mut more = Vec::new();
+    let ended = stream.read_to_end(&mut more);
+    assert!(ended.is_ok() && more.is_empty(), "{ended:?} {}", String::from_utf8_lossy(&more));
+}
