--- a/src/net/clients/acceptor.rs
+++ b/src/net/clients/acceptor.rs
@@ -57,6 +57,7 @@
     doing: Cell<Doing>,
     since: Cell<Instant>,
     told: Cell<Told>,
+    told_at: Cell<Instant>,
     wake: Wake,
 }
 
@@ -82,12 +83,14 @@
         }
     }
 
-    /// Whether it was told, and has only to do it.
-    fn ending(&self) -> bool {
-        self.told.get() == Told::MakeWay && self.doing.get() != Doing::Working
+    /// Whether it was told just now, and has only to do it. A front that reads by itself may take longer.
+    fn ending(&self, now: Instant) -> bool {
+        let fresh = now < self.told_at.get() + LOOK;
+        fresh && self.told.get() == Told::MakeWay && self.doing.get() != Doing::Working
     }
 
-    fn tell(&self) {
+    fn tell(&self, now: Instant) {
+        self.told_at.set(now);
         let leaving = self.doing.get() == Doing::Leaving;
         self.told.set(if leaving { Told::Close } else { Told::MakeWay });
         self.wake.notify(usize::MAX);
@@ -153,11 +156,11 @@
     /// one is on its way out no other one is told.
     fn make_way(&self, now: Instant) -> Duration {
         let seats = self.seats.borrow();
-        let ending = seats.values().any(|s| s.ending());
+        let ending = seats.values().any(|s| s.ending(now));
         let spare = seats.values().filter(|s| s.spare().is_some_and(|at| at <= now));
         let first = spare.min_by_key(|s| (s.doing.get(), s.since.get()));
         match first.filter(|s| !ending || s.doing.get() == Doing::Leaving) {
-            Some(seat) => seat.tell(),
+            Some(seat) => seat.tell(now),
             None if !ending => return LOOK,
             None => {}
         }
@@ -190,9 +193,9 @@
                 Some(Ok((stream, _))) => {
                     drop(stream.get_ref().set_nodelay(true));
                     let now = Instant::now();
-                    let (doing, since, told) =
-                        (Cell::new(Doing::Mute), Cell::new(now), Cell::new(Told::Nothing));
-                    let seat = Rc::new(Seat { doing, since, told, wake: Wake::new() });
+                    let (doing, since, told_at) = (Cell::new(Doing::Mute), Cell::new(now), Cell::new(now));
+                    let (told, wake) = (Cell::new(Told::Nothing), Wake::new());
+                    let seat = Rc::new(Seat { doing, since, told, told_at, wake });
                     self.seats.borrow_mut().insert(number, seat.clone());
                     self.count();
                     let (closing, crowded) = (self.closing.clone(), self.crowded.clone());
