Read what came from a data node before its connection ends, and finish no frame for nobody

Cause: serve() polled the close and the write before the read, so an answer that lay in the socket was lost where the next write met a reset behind it, or where its connection was given up as silent (exchange.rs, closed.or(write).or(read)). A frame that was partly written when its part was called off went on being written, its last byte after the query's end; and one partly written when the data node ended the connection was told as may have run.

Change: the read is polled first; the parts of the frame under way are kept with the connection, are told as never sent whatever ends it before the last byte is taken, and where all of them are called off the connection goes.

--- a/src/net/nodes/connection.rs
+++ b/src/net/nodes/connection.rs
@@ -44,6 +44,8 @@
     pub queue: RefCell<VecDeque<Out>>,
     /// Written and not answered, oldest first.
     pub waiting: RefCell<Vec<Rc<Item>>>,
+    /// Those of the waiting whose frame is being written: until our system has its last byte, they cannot run.
+    pub under_way: RefCell<Vec<Rc<Item>>>,
     /// Written, then given up: an answer may still come.
     pub given_up: RefCell<VecDeque<Rc<Item>>>,
     pub probes: RefCell<VecDeque<Probe>>,
@@ -64,6 +66,7 @@
         Connection {
             queue: RefCell::default(),
             waiting: RefCell::default(),
+            under_way: RefCell::default(),
             given_up: RefCell::default(),
             probes: RefCell::default(),
             wake: Wake::new(),
@@ -130,6 +133,8 @@
     /// data node may send, for the death of its process, and against waiting for the others.
     pub fn spoil(&self, id: Option<&str>) {
         let mut waiting = self.waiting.borrow_mut();
+        let under_way = self.under_way.borrow();
+        waiting.retain(|item| !under_way.iter().any(|other| Rc::ptr_eq(other, item)));
         let spoilt = id.and_then(|id| waiting.iter().position(|item| item.id == id)).unwrap_or(0);
         let mut lost = waiting.split_off(0);
         ended(&lost.drain(spoilt..(spoilt + 1).min(lost.len())).collect::<Vec<_>>(), Outcome::Error);
@@ -138,9 +143,11 @@
 
     /// End it. Gives back the parts that were not written whole, which never ran, and those that were, which
     /// may have.
-    pub fn end(&self, unwritten: Vec<Rc<Item>>) -> [Vec<Rc<Item>>; 2] {
+    pub fn end(&self) -> [Vec<Rc<Item>>; 2] {
         self.closed.set(true);
         self.probes.borrow_mut().clear();
+        let unwritten = self.under_way.take();
+        self.waiting.borrow_mut().retain(|item| !unwritten.iter().any(|other| Rc::ptr_eq(other, item)));
         let queued = self.queue.take().into_iter().filter_map(|out| match out {
             Out::Part(item) => Some(item),
             _ => None,
@@ -148,13 +155,26 @@
         [unwritten.into_iter().chain(queued).collect(), self.waiting.take()]
     }
 
-    /// Nobody waits for this attempt any more: unwritten it is not sent, else the data node is told.
+    /// Nobody waits for this attempt any more: unwritten it is not sent, else the data node is told. Where nobody
+    /// waits for any part of the frame that is being written, the connection goes. Guards against a last byte,
+    /// with which an attempt begins to count, that would follow its query's end as soon as the data node reads on;
+    /// and against a connection to one that never does, which nothing else would close.
     pub fn give_up(&self, item: &Rc<Item>, cancel: bool) {
         let ours = |out: &Out| matches!(out, Out::Part(other) if Rc::ptr_eq(other, item));
         self.queue.borrow_mut().retain(|out| !ours(out));
         let mut waiting = self.waiting.borrow_mut();
         let Some(n) = waiting.iter().position(|other| Rc::ptr_eq(other, item)) else { return };
         let item = waiting.remove(n);
+        drop(waiting);
+        let mut under_way = self.under_way.borrow_mut();
+        let written =
+            under_way.iter().position(|other| Rc::ptr_eq(other, &item)).map(|n| under_way.remove(n));
+        if written.is_some() && under_way.is_empty() {
+            // What else is out on it may have run; it says nothing of its data node's life.
+            self.silent.set(true);
+            self.close();
+            return;
+        }
         let mut given_up = self.given_up.borrow_mut();
         if given_up.len() == MOST_GIVEN_UP {
             given_up.pop_front();
--- a/src/net/nodes/exchange.rs
+++ b/src/net/nodes/exchange.rs
@@ -52,14 +52,13 @@
                 let (mut reader, mut writer) = (&stream, &stream);
                 let read = self.read(replica, &connection, &mut reader);
                 let write = self.write(replica, &connection, &mut writer);
-                let closed = async {
-                    connection.wait(|| connection.closed.get()).await;
-                    Vec::new()
-                };
-                let unwritten = closed.or(write).or(read).await;
+                let closed = connection.wait(|| connection.closed.get());
+                // What has come is read before anything ends it. Guards answers that lie there when a write meets
+                // a reset behind them, or when we give the connection up: served, they would be told as lost.
+                read.or(closed).or(write).await;
                 // We closed it ourselves where its process is known to be no more.
                 let (known, silent) = (connection.closed.get(), connection.silent.get());
-                let [unsent, lost] = connection.end(unwritten);
+                let [unsent, lost] = connection.end();
                 drop(stream);
                 self.let_go(&connection);
                 if !unsent.is_empty() || !lost.is_empty() {
@@ -72,7 +71,7 @@
             Some(Err(e)) => debug!(self.log, "no connection"; "replica" => replica.0, "error" => %e),
             None => {}
         }
-        let [unsent, _] = connection.end(Vec::new());
+        let [unsent, _] = connection.end();
         ended(&unsent, Outcome::NoConnection);
         self.let_go(&connection);
     }
@@ -84,13 +83,8 @@
         }
     }
 
-    /// Write what is queued. Ends with the parts whose frame could not be written whole.
-    async fn write(
-        &self,
-        replica: ReplicaId,
-        connection: &Connection,
-        stream: &mut &Async<TcpStream>,
-    ) -> Vec<Rc<Item>> {
+    /// Write what is queued. Ends where a frame cannot be written whole: its parts are under way for good.
+    async fn write(&self, replica: ReplicaId, connection: &Connection, stream: &mut &Async<TcpStream>) {
         let idle = self.told.sockets.idle.mul_f64(IDLE_SHARE);
         let mut bytes = Vec::new();
         loop {
@@ -101,7 +95,7 @@
             if some.await.is_none() {
                 let unused = connection.used.get() + idle <= Instant::now();
                 if unused && connection.idle() {
-                    return Vec::new();
+                    return;
                 }
                 // Silent, but it still carries something.
                 if unused {
@@ -119,14 +113,15 @@
             // The parts wait from their first byte on, so that none is left out of what the connection holds;
             // until the last byte is written they have not run.
             connection.waiting.borrow_mut().extend(parts.iter().cloned());
+            connection.under_way.borrow_mut().extend(parts.iter().cloned());
             if !parts.is_empty() && connection.owes.get().is_none() {
                 connection.owes.set(Some(Instant::now()));
             }
+            // An error comes only instead of the last byte: with that taken, all is written.
             if stream.write_all(&bytes).await.is_err() {
-                let unwritten = |item: &Rc<Item>| parts.iter().any(|p| Rc::ptr_eq(p, item));
-                connection.waiting.borrow_mut().retain(|item| !unwritten(item));
-                return parts;
+                return;
             }
+            connection.under_way.borrow_mut().clear();
         }
     }
 
@@ -196,19 +191,14 @@
     }
 
     /// Read answers until the connection ends or says what we cannot use.
-    async fn read(
-        &self,
-        replica: ReplicaId,
-        connection: &Connection,
-        stream: &mut &Async<TcpStream>,
-    ) -> Vec<Rc<Item>> {
+    async fn read(&self, replica: ReplicaId, connection: &Connection, stream: &mut &Async<TcpStream>) {
         let mut buffer = Buffer::default();
         let mut begun = Instant::now();
         loop {
             if buffer.unread().is_empty() {
                 match buffer.fill(stream).await {
                     Ok(n) if n > 0 => begun = Instant::now(),
-                    _ => return Vec::new(),
+                    _ => return,
                 }
             }
             let used = match frames::parse(buffer.unread()) {
@@ -216,27 +206,27 @@
                     if let Some(spared) = self.said.line() {
                         warn!(self.log, "data node could not use a frame"; "words" => words, "spared" => spared);
                     }
-                    return Vec::new();
+                    return;
                 }
                 Ok(Some((frame, length))) => {
                     if !self.answered(replica, connection, frame) {
                         self.unusable(connection, "an answer that nobody waits for", &[]);
-                        return Vec::new();
+                        return;
                     }
                     length
                 }
                 // Guards against a length that promises more than ever comes.
                 Ok(None) => match by(begun + FRAME, buffer.fill(stream)).await {
                     Some(Ok(n)) if n > 0 => continue,
-                    Some(_) => return Vec::new(),
+                    Some(_) => return,
                     None => {
                         self.unusable(connection, "a frame that does not end", buffer.unread());
-                        return Vec::new();
+                        return;
                     }
                 },
                 Err(e) => {
                     self.unusable(connection, e, buffer.unread());
-                    return Vec::new();
+                    return;
                 }
             };
             begun = Instant::now();
