Ask the agent where lists are pushed, and begin without a saved list

Cause: src/net/discovery.rs watches when the module asks for it, and the module asks only where Discovery is 'ask' (balance/members.rs, subscribe): where lists are pushed, nothing was ever fetched from the agent and no drain heard of. Also, rounds run on events alone (core/mod.rs, run): with 'known' null or absent no event ever came, so no watch began at any site and the coordinator never became ready.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -95,7 +95,9 @@
     ) -> Result<Rc<Self>, SettingsError> {
         let state = State {
             balancer: Balancer::new(settings.clone(), seed)?,
-            events: Vec::new(),
+            // The first round comes by itself, in which the module asks for the list: guards a start without a list
+            // as last saved, at which nothing else would ever happen.
+            events: vec![Event::Timer],
             timers: BinaryHeap::new(),
             open: BTreeMap::new(),
             parts: BTreeMap::new(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -92,7 +92,7 @@
         let told = Rc::new(platform.told.clone());
         let descriptors = Rc::new(Descriptors::new(all));
         let nodes = Nodes::new((*told).clone(), descriptors.clone(), executor.clone(), log.clone());
-        let settings = told.settings.clone();
+        let settings = told.over_sockets();
         let core = Core::new(settings, config.seed, told.max_open, executor.clone(), nodes.clone())
             .map_err(ConfigError::Settings)?;
         let zones = told.zones.clone();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,6 +37,19 @@
     pub sockets: Sockets,
 }
 
+impl Deployment {
+    /// What the module goes by over sockets. There a pushed list lies with an agent on our own machine, which tells
+    /// only who asks it, at no cost and at once: it is asked from the start on, and anew as soon as the module ever
+    /// does. Guards a deployment whose lists are pushed against never hearing of a drain.
+    pub fn over_sockets(&self) -> Settings {
+        let asked = match self.settings.discovery {
+            Discovery::Push => Discovery::Ask { within: 0.0 },
+            asked => asked,
+        };
+        Settings { discovery: asked, ..self.settings.clone() }
+    }
+}
+
 /// How connections to data nodes are kept.
 #[derive(Clone, Copy, Debug)]
 pub struct Sockets {
--- /dev/null
+++ b/tests/settings_served.rs
@@ -0,0 +1,64 @@
+//! What a deployment's settings may hold that ours do not, as the started program serves it.
+mod common;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver};
+
+use common::*;
+use serde_json::Value;
+
+/// Change the configuration in `folder`.
+fn edit(folder: &Path, change: impl FnOnce(&mut Value)) {
+    let path = folder.join("config.json");
+    let text = std::fs::read_to_string(&path).expect("read");
+    let mut config: Value = serde_json::from_str(&text).expect("JSON");
+    change(&mut config);
+    std::fs::write(path, config.to_string()).expect("written");
+}
+
+/// A discovery that gives each call the next of these answers, and holds the calls behind the last one. Yields the
+/// calls.
+fn discovery(answers: Vec<String>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let (call, calls) = channel();
+    std::thread::spawn(move || {
+        let (mut answers, mut held) = (answers.into_iter(), Vec::new());
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            while let Some(head) = read_http(&mut stream) {
+                if call.send(head).is_err() {
+                    return;
+                }
+                let Some(answer) = answers.next() else { break };
+                stream.write_all(answer.as_bytes()).expect("written");
+            }
+            held.push(stream);
+        }
+    });
+    (address, calls)
+}
+
+fn http(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Where lists are pushed, the agent on our machine holds them for us, and counts as having told us: it has to be
+/// asked, and asked anew when a call has failed.
+#[test]
+fn pushed_lists_are_fetched_from_the_agent() {
+    let node = SocketAddr::from(([127, 0, 0, 1], 9));
+    let list = format!(r#"{{"seq":7,"whole":true,"hosts":[{}]}}"#, host(0, &node, "up"));
+    let (at, calls) = discovery(vec![http("503 Unavailable", ""), http("200 OK", &list)]);
+    let folder = configure("pushed", &[node], at, 1, 75);
+    edit(&folder, |config| {
+        config["settings"]["Discovery"] = "push".into();
+        config["known"] = Value::Null;
+    });
+    let program = Program::start(&folder, false);
+    calls.recv_timeout(PATIENCE).expect("the agent is asked");
+    program.log("entries: 1, whole: true, seq: 7");
+    let mut client = connect(program.address);
+    while ask(&mut client, "GET /_health HTTP/1.1\r\nHost: t", "").0 != 200 {}
+}
