Write no repeat after its class's window, however long it waited to be written

Cause: for classes that drop repeats for WindowS only, the module looks at the window when it decides (balance/attempts.rs, may_repeat). On sockets the frame may be written later: behind a connect (up to the connect time-out), other parts or a grant; also a first attempt that waits while its hedge is written. Nothing looked at the window again before the write.

Change: the core keeps when the attempts of such a part were decided; Stop::too_late is asked where each transport looks last before a write, and such an attempt ends as not sent. The core also knows the classes that were added later, which it did not.

The one condition in each transport is not tested on a socket yet.

--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 
-use super::{after, Core, Gate, Part, State, Step, Value};
+use super::{after, Core, Gate, Part, Repeats, State, Step, Value};
 use crate::interface::*;
 
 /// One attempt of one part.
@@ -55,13 +55,15 @@
     come: Receiver<Infallible>,
     /// That of a protected query.
     gate: Option<Rc<dyn Gate>>,
+    /// Where a repeat must not come late: the part's attempts, and which of them this one is.
+    repeats: Option<(Rc<Repeats>, u8)>,
 }
 
 impl Stop {
     /// A stop, and what to drop for it to come.
     pub fn new() -> (Sender<Infallible>, Stop) {
         let (send, stopped) = async_channel::bounded(1);
-        (send, Stop { come: stopped, gate: None })
+        (send, Stop { come: stopped, gate: None, repeats: None })
     }
 
     /// Whether it has come, or the query is not ours to send for: for the last look before a write.
@@ -69,6 +71,13 @@
         self.come.is_closed() || self.gate.as_ref().is_some_and(|gate| !gate.holds())
     }
 
+    /// Whether the attempt would be a repeat that comes after its class's window: for the last look before a write,
+    /// which ends it as not sent. Guards against one that was decided within the window and waited on a connect,
+    /// behind other parts or for its grant until after it.
+    pub fn too_late(&self, now: Instant) -> bool {
+        self.repeats.as_ref().is_some_and(|(repeats, attempt)| repeats.too_late(*attempt, now))
+    }
+
     pub async fn wait(&self) {
         while self.come.recv().await.is_ok() {}
     }
@@ -109,8 +118,7 @@
         timeout: Option<f64>,
     ) {
         let held = state.parts.get_mut(&part).and_then(|p| Some((state.open.get(&p.query)?, p)));
-        let Some((open, held)) = held.filter(|(_, p)| u32::from(p.attempts) < self.settings.most_tries)
-        else {
+        let Some((open, held)) = held.filter(|(_, p)| u32::from(p.attempts) < self.most_tries) else {
             let (attempt, outcome) = (u8::MAX, Outcome::NotSent);
             let over = true;
             state.events.push(Event::Outcome {
@@ -132,6 +140,10 @@
         let of = Some((self.clone(), part, attempt, now));
         let call = Call { replica, carried, shard: held.shard, step, deadline, of };
         let (stop, mut stopped) = Stop::new();
+        if let Some(repeats) = &held.repeats {
+            repeats.decided(attempt, now);
+            stopped.repeats = Some((repeats.clone(), attempt));
+        }
         state.stops.insert((part, attempt), stop);
         let core = self.clone();
         if let Some(protection) = &open.protection {
@@ -205,6 +217,9 @@
         state.stops.remove(&(id, attempt));
         let part = state.parts.get_mut(&id);
         let over = part.as_ref().is_none_or(|p| p.value.is_some()) || ended.served.is_some();
+        if let Some(repeats) = part.as_ref().and_then(|p| p.repeats.as_ref()) {
+            repeats.ended(attempt, ended.outcome);
+        }
         if let Some(part) = part.filter(|p| p.takes(attempt)) {
             part.value = ended.served;
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod gate;
 mod query;
+mod repeats;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -24,6 +25,7 @@
 pub use clock::{after, Clock};
 pub use gate::{Earlier, Gate, Granting, Protection};
 pub use query::{Final, Query, Step, Taken, Value};
+use repeats::Repeats;
 
 struct Part {
     query: QueryId,
@@ -36,6 +38,8 @@
     cleared: u8,
     /// The attempt whose value has begun to go to the client.
     committed: Option<u8>,
+    /// Where repeats are dropped for a while only: its attempts that may have run.
+    repeats: Option<Rc<Repeats>>,
 }
 
 struct Open<C> {
@@ -45,6 +49,8 @@
     carried: Rc<C>,
     parts: Vec<PartId>,
     second: bool,
+    /// For how long repeats of its parts are dropped, where they must not come later.
+    window: Option<f64>,
     protection: Option<Protection>,
     done: Sender<Final>,
 }
@@ -80,7 +86,8 @@
     subscribe: (Sender<()>, Receiver<()>),
     executor: Rc<LocalExecutor<'static>>,
     transport: Rc<T>,
-    settings: Settings,
+    most_tries: u32,
+    classes: RefCell<Vec<Class>>,
     max_open: usize,
     listed: Cell<bool>,
 }
@@ -112,7 +119,8 @@
             subscribe: async_channel::bounded(1),
             executor,
             transport,
-            settings,
+            most_tries: settings.most_tries,
+            classes: RefCell::new(settings.classes),
             max_open,
             listed: Cell::new(false),
         }))
@@ -128,7 +136,9 @@
 
     /// Further classes of queries, behind those that are there.
     pub fn extend(&self, classes: &[Class]) -> Result<(), SettingsError> {
-        self.state.borrow_mut().balancer.extend(classes)
+        self.state.borrow_mut().balancer.extend(classes)?;
+        self.classes.borrow_mut().extend_from_slice(classes);
+        Ok(())
     }
 
     /// Replicas that the module remembers.
@@ -266,8 +276,9 @@
             let (spent, cleared) = earlier.map_or((0, 0), |e| (e.spent(), e.cleared));
             let value = earlier.and_then(|e| e.value.clone());
             let (number, served) = (open.number, value.is_some());
-            let held =
-                Part { query, shard, step: step.clone(), value, attempts: spent, cleared, committed: None };
+            let (step, attempts, committed) = (step.clone(), spent, None);
+            let repeats = open.window.map(Repeats::within);
+            let held = Part { query, shard, step, value, attempts, cleared, committed, repeats };
             self.parts.insert(part, held);
             self.events.push(Event::Part { part, number, shard, weight, spent, served });
         }
--- a/src/core/query.rs
+++ b/src/core/query.rs
@@ -126,6 +126,7 @@
             carried: Rc::new(query.carried),
             parts: Vec::new(),
             second: false,
+            window: self.classes.borrow().get(usize::from(query.class.0)).and_then(Class::window),
             protection: query.protection,
             done: send,
         };
@@ -155,8 +156,9 @@
         for part in parts.iter().filter_map(|p| state.leave(*p)) {
             values.extend(part.value.map(|(value, score)| (part.shard, value, score)));
         }
-        let class = self.settings.classes.get(usize::from(open.class.0));
-        let second = class.map_or(0, |c| c.second_step as usize).min(values.len());
+        let second =
+            self.classes.borrow().get(usize::from(open.class.0)).map_or(0, |c| c.second_step as usize);
+        let second = second.min(values.len());
         if second > 0 && !open.second {
             let from: Rc<[ShardId]> = values.iter().map(|v| v.0).collect();
             values.sort_by(|a, b| b.2.total_cmp(&a.2).then(a.0.cmp(&b.0)));
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -35,6 +35,16 @@
     pub copies: bool,
 }
 
+impl Class {
+    /// For how long repeats of its parts are dropped, where they must not come later.
+    pub fn window(&self) -> Option<f64> {
+        match self.effect {
+            Effect::Keyed { window } => Some(window),
+            Effect::Safe | Effect::Unsafe => None,
+        }
+    }
+}
+
 /// A tenant.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tenant {
--- a/src/net/grpc/attempt.rs
+++ b/src/net/grpc/attempt.rs
@@ -72,8 +72,9 @@
         // The last look before the write: guards against a call that waited for a connection while its server began
         // to drain, went away or began a new life, and against one that nobody wants any more.
         let now = Instant::now();
-        let Some((address, _)) =
-            self.ready(call.replica).filter(|_| !stop.called_off() && call.deadline > now)
+        let Some((address, _)) = self
+            .ready(call.replica)
+            .filter(|_| !stop.called_off() && !stop.too_late(now) && call.deadline > now)
         else {
             return Err(Broken::new(Code::Unavailable, "not sent", Outcome::NotSent));
         };
--- a/src/net/nodes/exchange.rs
+++ b/src/net/nodes/exchange.rs
@@ -160,7 +160,7 @@
             match out {
                 // Its attempt has ended, or is about to be told so.
                 Out::Part(item) if item.stop.called_off() || item.deadline <= now => {}
-                Out::Part(item) if node.is_none_or(|n| n.life != item.life) => {
+                Out::Part(item) if node.is_none_or(|n| n.life != item.life) || item.stop.too_late(now) => {
                     drop(item.end.0.try_send(Outcome::NotSent.into()));
                 }
                 Out::Part(item) => {
--- a/src/net/opensearch/servers.rs
+++ b/src/net/opensearch/servers.rs
@@ -116,7 +116,8 @@
         };
         // The last look before the write: guards against a send that waited on a connect while the records
         // changed, or another coordinator went on with its query.
-        if self.ready(call.replica) != Some((address, life)) || stop.called_off() {
+        let stopped = stop.called_off() || stop.too_late(Instant::now());
+        if stopped || self.ready(call.replica) != Some((address, life)) {
             return Outcome::NotSent.into();
         }
         let request = request(call, address);
