Hold an attempt out until its data node has ended it where no second copy may run

Cause: nodes/exchange.rs told parts on a connection given up as silent, or spoilt, as over at once, and told data nodes the whole of our wait, which they count from when the part is there.

Change: where second copies are not allowed such a part ends with its own time, only the part that a spoilt answer names ends with it, and a part is told 50 ms less than we wait (the protocol's slack of each limit).

--- a/src/net/nodes/connection.rs
+++ b/src/net/nodes/connection.rs
@@ -131,14 +131,20 @@
     /// An answer could not be used, of the part of that id if one could be read: an error of that part. With
     /// it goes the connection, and so do the others out on it. Guards against holding a spoilt answer, which any
     /// data node may send, for the death of its process, and against waiting for the others.
-    pub fn spoil(&self, id: Option<&str>) {
+    ///
+    /// Where a second copy may not run beside another attempt (`alone`), only the part that is named has ended: the
+    /// others may still be worked on, and end with their own time.
+    pub fn spoil(&self, id: Option<&str>, alone: bool) {
         let mut waiting = self.waiting.borrow_mut();
         let under_way = self.under_way.borrow();
         waiting.retain(|item| !under_way.iter().any(|other| Rc::ptr_eq(other, item)));
-        let spoilt = id.and_then(|id| waiting.iter().position(|item| item.id == id)).unwrap_or(0);
+        let named = id.and_then(|id| waiting.iter().position(|item| item.id == id));
+        let spoilt = named.or((!alone).then_some(0)).unwrap_or(waiting.len());
         let mut lost = waiting.split_off(0);
         ended(&lost.drain(spoilt..(spoilt + 1).min(lost.len())).collect::<Vec<_>>(), Outcome::Error);
-        ended(&lost, Outcome::Dropped);
+        if !alone {
+            ended(&lost, Outcome::Dropped);
+        }
     }
 
     /// End it. Gives back the parts that were not written whole, which never ran, and those that were, which
--- a/src/net/nodes/exchange.rs
+++ b/src/net/nodes/exchange.rs
@@ -26,6 +26,9 @@
 const SILENT: Duration = Duration::from_millis(400);
 /// Time between looks for a free place where parts wait for one: those of given-up parts are freed by time.
 const LOOK: Duration = Duration::from_millis(20);
+/// What a part is told less of its time where no second one may run beside it: its data node counts from when the part
+/// is there, behind the way and a new connection's handshake. The rules on sockets allow each limit as much.
+const WAY: Duration = Duration::from_millis(50);
 /// A connection's room for frames is kept up to this.
 const MOST_KEPT: usize = 16 * 1024;
 
@@ -64,7 +67,10 @@
                 if !unsent.is_empty() || !lost.is_empty() {
                     let lives = silent || (!known && self.lives(replica).await);
                     ended(&unsent, if lives { Outcome::NotSent } else { Outcome::NoConnection });
-                    ended(&lost, if lives { Outcome::Dropped } else { Outcome::Reset });
+                    // What fell silent may still be worked on, and never hears of our close.
+                    if !(silent && self.alone()) {
+                        ended(&lost, if lives { Outcome::Dropped } else { Outcome::Reset });
+                    }
                 }
                 return;
             }
@@ -76,6 +82,12 @@
         self.let_go(&connection);
     }
 
+    /// Whether no attempt of a part may run beside another one. Then one that we end by ourselves must be over at its
+    /// data node too before the next begins: it ends with the time that it was told, or with its answer.
+    fn alone(&self) -> bool {
+        !self.told.settings.second_copies
+    }
+
     /// Its descriptor is free, unless it was closed to make way for another and has been counted out before.
     fn let_go(&self, connection: &Connection) {
         if connection.counted.replace(false) {
@@ -140,6 +152,7 @@
         let (mut parts, now) = (Vec::new(), Instant::now());
         let per_call = self.told.settings.per_call.max(1) as usize;
         let at = frames::open(bytes, b'q');
+        let way = if self.alone() { WAY } else { Duration::ZERO };
         let streams = self.told.sockets.streams;
         loop {
             // The frame's own parts take places too.
@@ -154,12 +167,12 @@
             let Some(out) = next.and_then(|n| queue.remove(n)) else { break };
             match out {
                 // Its attempt has ended, or is about to be told so.
-                Out::Part(item) if item.stop.called_off() || item.deadline <= now => {}
+                Out::Part(item) if item.stop.called_off() || item.deadline <= now + way => {}
                 Out::Part(item) if node.is_none_or(|n| n.life != item.life) || item.stop.too_late(now) => {
                     drop(item.end.0.try_send(Outcome::NotSent.into()));
                 }
                 Out::Part(item) => {
-                    let left = item.deadline.saturating_duration_since(now).as_millis();
+                    let left = item.deadline.saturating_duration_since(now + way).as_millis();
                     let Item { id, shard, extra, carried, .. } = &*item;
                     let head = format!("{id} {} d={left}{extra} {}\n", shard.0, carried.statement.len());
                     bytes.extend_from_slice(head.as_bytes());
@@ -241,7 +254,7 @@
             warn!(self.log, "unusable frame from a data node"; "error" => %error, "spared" => spared,
                 "out" => connection.waiting.borrow().len());
         }
-        connection.spoil(frames::named(bytes));
+        connection.spoil(frames::named(bytes), self.alone());
     }
 
     /// Hand an answer to who waits for it. An answer to what was given up finds nobody, as is usual; any other
