Serve each setting as told or refuse it by its key, and read the tenant of a query

Cause: numbers of the settings were cut without a word ('as u32', 'as u8': Zone 300 became 44, PerCall 2.7 two, PerCall 0 was served, MostTries 1000 overran the 8 bits of an attempt's number); a part of the settings of the wrong form (Safety: 5) counted as absent, with its rules; a budget without RepeatRatio was none; lists shorter than Classes, two classes of one name, PeriodS over a deadline (all queries over when they come), KeepaliveS 0 (the writer spins) were served. A whole answer could hold less than LeastShare where ClassNeed is lower. Faults of form in check() named no key. The thin front never read Req-Owner: every query was the first tenant's (core/query.rs, TenantId(0)).

Change: src/settings/read.rs reads each key with its range. A token class whose DedupScope is not 'all' is never repeated. Req-Owner is read where Tenants are told; whoever names none of them is one more tenant without a share, so served where there is room and first to wait where there is not. Other fronts' queries are no tenant's. Tallies of silent tenants are forgotten. limits.sockets under 48, which were overrun, are refused; a BOM is passed over; what ends the start comes before the first log line.

Tests changed: parts.rs and wire.rs asked for the word 'classes' in the line on AimS -1, and now for 'AimS is not above 0 (class 0)'; Shards 0 has a line of its own and Shards absent the old one.

--- a/src/config.rs
+++ b/src/config.rs
@@ -12,6 +12,9 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+/// Those that are kept for ourselves, and as many for clients and data nodes as work at all.
+const LEAST_SOCKETS: usize = crate::RESERVED + crate::LEAST_SHARED;
+
 #[derive(Debug)]
 pub enum ConfigError {
     Missing(&'static str),
@@ -19,6 +22,7 @@
     Json(serde_json::Error),
     Address(&'static str, String),
     Seed(String),
+    Sockets(usize),
     Unreadable(Unreadable),
     Settings(SettingsError),
     Listen(SocketAddr, io::Error),
@@ -35,6 +39,7 @@
             ConfigError::Json(e) => write!(f, "configuration: {e}"),
             ConfigError::Address(name, text) => write!(f, "{name}: '{text}' is not an address and port"),
             ConfigError::Seed(text) => write!(f, "seed: '{text}' is not a hexadecimal number"),
+            ConfigError::Sockets(n) => write!(f, "limits.sockets: {n} is under {LEAST_SOCKETS}"),
             ConfigError::Unreadable(e) => write!(f, "{e}"),
             ConfigError::Settings(e) => write!(f, "{e}"),
             ConfigError::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
@@ -104,13 +109,18 @@
         None => return Err(ConfigError::Missing("RELAY_CONFIG")),
         Some(path) => {
             let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Read(path, e))?;
-            let file: File = serde_json::from_str(&text).map_err(ConfigError::Json)?;
+            // An editor's mark of the encoding is no part of the text.
+            let file: File =
+                serde_json::from_str(text.trim_start_matches('\u{feff}')).map_err(ConfigError::Json)?;
             let told = settings::parse(file.settings.get().as_bytes()).map_err(ConfigError::Unreadable)?;
             let seed = file.seed.unwrap_or_default();
             if !seed.is_empty() {
                 config.seed = u64::from_str_radix(&seed, 16).map_err(|_| ConfigError::Seed(seed))?;
             }
             config.sockets = file.limits.and_then(|l| l.sockets).unwrap_or(config.sockets);
+            if config.sockets < LEAST_SOCKETS {
+                return Err(ConfigError::Sockets(config.sockets));
+            }
             config.platform = Some(Platform {
                 name: var("RELAY_NAME").or(file.name).unwrap_or_default(),
                 listen: address("RELAY_LISTEN", var("RELAY_LISTEN").or(file.listen))?,
--- a/src/core/query.rs
+++ b/src/core/query.rs
@@ -12,6 +12,7 @@
 /// A query as a front hands it in; `carried` is what the transport needs of it.
 pub struct Query<C> {
     pub class: ClassId,
+    pub tenant: TenantId,
     pub deadline: Instant,
     pub repeat: bool,
     pub parts: Vec<(ShardId, f64)>,
@@ -114,7 +115,7 @@
             query: id,
             number,
             class: query.class,
-            tenant: TenantId(0),
+            tenant: query.tenant,
             patience: query.deadline.saturating_duration_since(now).as_secs_f64(),
             parts: query.parts.len() as u32,
             repeat: query.repeat,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,6 +66,12 @@
 /// Index into [`Settings::tenants`]; ignored where there are none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantId(pub u16);
+
+impl TenantId {
+    /// Of a front that knows no tenants: none that is told, so its queries are in nobody's share.
+    pub const NONE: TenantId = TenantId(u16::MAX);
+}
+
 /// A zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u8);
--- a/src/main.rs
+++ b/src/main.rs
@@ -33,6 +33,8 @@
 const COUNTS_EVERY: Duration = Duration::from_secs(10);
 /// Descriptors kept for the listeners, discovery, the log, files and the like.
 const RESERVED: usize = 32;
+/// The fewest for connections to clients and to what is behind.
+const LEAST_SHARED: usize = 16;
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -79,7 +81,7 @@
         + usize::from(query_api.is_some())
         + usize::from(grpc.is_some());
     let members = fleet.as_ref().map_or(0, Fleet::descriptors);
-    let all = config.sockets.saturating_sub(RESERVED + members).max(16) / fronts.max(1);
+    let all = config.sockets.saturating_sub(RESERVED + members).max(LEAST_SHARED) / fronts.max(1);
     let acceptor = |descriptors: Rc<Descriptors>| {
         Acceptor::new(executor.clone(), closing.clone(), descriptors, log.clone())
     };
@@ -89,6 +91,9 @@
     let (moved, moves) = async_channel::unbounded();
 
     if let Some(platform) = config.platform {
+        // First of all what may end the start: nothing is logged before it.
+        let known = platform.known()?;
+        let listener = listen(platform.listen)?;
         let told = Rc::new(platform.told.clone());
         let descriptors = Rc::new(Descriptors::new(all));
         let nodes = Nodes::new((*told).clone(), descriptors.clone(), executor.clone(), log.clone());
@@ -99,11 +104,10 @@
         let (address, core_of) = (platform.discovery, core.clone());
         let discovery = Discovery { address, moves, core: core_of, nodes, zones, log: log.clone() };
         let mut seq = 0;
-        if let Some(known) = platform.known()? {
+        if let Some(known) = known {
             discovery.apply(&known, News::Cached);
             seq = known.seq;
         }
-        let listener = listen(platform.listen)?;
         let address = listener.get_ref().local_addr().unwrap_or(platform.listen);
         info!(log, "listening"; "name" => &platform.name, "address" => %address);
         let (open, said) = Default::default();
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -207,7 +207,13 @@
             return Err(Bad::Open);
         }
         let kind = header("Req-Kind")?;
-        let class = self.told.class_names.iter().position(|c| c == kind).ok_or(Bad::Class)?;
+        let class =
+            self.told.class_names.iter().position(|c| !c.is_empty() && c == kind).ok_or(Bad::Class)?;
+        let tenant = match self.told.tenant_names.is_empty() {
+            true => None,
+            false => message.only(buffer, "Req-Owner").transpose().map_err(|()| Bad::Header("Req-Owner"))?,
+        };
+        let tenant = self.told.tenant(tenant);
         let wait = header("Req-Deadline-Ms")?;
         let digits = wait.bytes().all(|b| b.is_ascii_digit());
         let wait = wait.parse().ok().filter(|ms| digits && *ms > 0).ok_or(Bad::Header("Req-Deadline-Ms"))?;
@@ -238,7 +244,7 @@
         self.open.borrow_mut().insert(id.to_owned());
         let open = Taken(self.open.clone(), id.to_owned());
         let class = ClassId(class as u16);
-        Ok((Query { class, deadline, repeat, parts, carried, protection: None }, open))
+        Ok((Query { class, tenant, deadline, repeat, parts, carried, protection: None }, open))
     }
 
     fn answer(&self, outcome: &Final) -> Answer {
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -34,6 +34,7 @@
 use super::status::{self, Code, Status};
 use super::wire::{self, Framer};
 use crate::core::{Core, Final, Query};
+use crate::interface::TenantId;
 use crate::net::clients::{Client, Closing};
 use crate::net::{by, Ration};
 use crate::operator::FrontLimits;
@@ -326,9 +327,9 @@
             reply_moved,
             last,
         };
-        let repeat = head.headers.contains_key("grpc-previous-rpc-attempts");
+        let (tenant, repeat) = (TenantId::NONE, head.headers.contains_key("grpc-previous-rpc-attempts"));
         let (class, parts) = (carried.route.class, shards.iter().map(|s| (*s, weight)).collect());
-        let query = Query { class, deadline, repeat, parts, carried, protection: None };
+        let query = Query { class, tenant, deadline, repeat, parts, carried, protection: None };
         let Some(taken) = self.core.take(query) else {
             if let Some(spared) = self.said.refused.line() {
                 info!(self.log, "refused"; "why" => "as much is open as may be", "path" => head.uri.path(),
--- a/src/net/opensearch/front.rs
+++ b/src/net/opensearch/front.rs
@@ -176,6 +176,7 @@
         let share = 1.0 / parts.len() as f64;
         let query = Query {
             class: ClassId(class as u16),
+            tenant: TenantId::NONE,
             deadline,
             repeat: false,
             parts: parts.iter().map(|s| (*s, share)).collect(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,10 +1,13 @@
 //! The settings of a deployment, as both programs are handed them: read, checked for form, nothing decided.
+mod read;
+
 use std::fmt;
 use std::time::Duration;
 
 use serde_json::Value;
 
 use crate::interface::*;
+use read::*;
 
 /// Settings that cannot be read, and where.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,16 +21,14 @@
 
 impl std::error::Error for Unreadable {}
 
-fn bad<T>(text: impl Into<String>) -> Result<T, Unreadable> {
-    Err(Unreadable(text.into()))
-}
-
 /// All that a deployment tells a co-ordinator: what its decisions go by, and what its sockets do.
 #[derive(Clone, Debug)]
 pub struct Deployment {
     pub settings: Settings,
     pub reports: Vec<ReportValue>,
+    /// Empty for one that is not told a name: nobody can ask for it.
     pub class_names: Vec<String>,
+    pub tenant_names: Vec<String>,
     pub report_names: Vec<String>,
     pub zones: Vec<String>,
     /// How many shards there are, if that is told.
@@ -41,12 +42,26 @@
     /// What the module goes by over sockets. There a pushed list lies with an agent on our own machine, which tells
     /// only who asks it, at no cost and at once: it is asked from the start on, and anew as soon as the module ever
     /// does. Guards a deployment whose lists are pushed against never hearing of a drain.
+    ///
+    /// Behind the tenants that are told comes one without a share, for whoever names none of them: it is served where
+    /// there is room, and is the first to wait where there is not. So a tenant that another configuration tells is
+    /// not refused, and nobody takes another's share by leaving out a name.
     pub fn over_sockets(&self) -> Settings {
         let asked = match self.settings.discovery {
             Discovery::Push => Discovery::Ask { within: 0.0 },
             asked => asked,
         };
-        Settings { discovery: asked, ..self.settings.clone() }
+        let mut settings = Settings { discovery: asked, ..self.settings.clone() };
+        if !settings.tenants.is_empty() {
+            settings.tenants.push(Tenant { quota: 0.0 });
+        }
+        settings
+    }
+
+    /// The tenant of a query over sockets; without tenants there is one.
+    pub fn tenant(&self, name: Option<&str>) -> TenantId {
+        let told = self.tenant_names.iter().position(|t| !t.is_empty() && Some(t.as_str()) == name);
+        TenantId(told.unwrap_or(self.tenant_names.len()) as u16)
     }
 }
 
@@ -63,12 +78,20 @@
 }
 
 fn names_of(v: &Value, path: &str) -> Result<Vec<String>, Unreadable> {
-    Ok(list(v, path)?.iter().map(|c| get(c, "Name").map(plain).unwrap_or_default()).collect())
-}
-
-fn seconds(v: &Value, path: &str, default: f64) -> Result<Duration, Unreadable> {
-    let n = optional(v, path)?.unwrap_or(default);
-    Duration::try_from_secs_f64(n).or_else(|_| bad(format!("settings: {path} is not a span of time")))
+    let mut names = Vec::new();
+    for (i, one) in list(v, path)?.iter().enumerate() {
+        let name = match get(one, "Name") {
+            None => "",
+            Some(_) => {
+                text(one, "Name").or_else(|_| bad(format!("settings: {path}[{i}].Name is not a text")))?
+            }
+        };
+        if !name.is_empty() && names.iter().any(|other| other == name) {
+            return bad(format!("settings: {path}[{i}].Name '{name}' is there twice"));
+        }
+        names.push(name.to_owned());
+    }
+    Ok(names)
 }
 
 /// A load report from its values, in the order in which the settings name them.
@@ -97,51 +120,9 @@
     Other,
 }
 
-fn get<'a>(v: &'a Value, path: &str) -> Option<&'a Value> {
-    path.split('.').try_fold(v, |v, key| v.get(key)).filter(|v| !v.is_null())
-}
-
-fn number(v: &Value, path: &str) -> Result<f64, Unreadable> {
-    match get(v, path).map(Value::as_f64) {
-        Some(Some(n)) => Ok(n),
-        Some(None) => bad(format!("settings: {path} is not a number")),
-        None => bad(format!("settings: {path} is missing")),
-    }
-}
-
-fn optional(v: &Value, path: &str) -> Result<Option<f64>, Unreadable> {
-    match get(v, path) {
-        None => Ok(None),
-        Some(_) => number(v, path).map(Some),
-    }
-}
-
-fn flag(v: &Value, path: &str) -> Result<bool, Unreadable> {
-    match get(v, path) {
-        None => Ok(false),
-        Some(Value::Bool(b)) => Ok(*b),
-        Some(_) => bad(format!("settings: {path} is not true or false")),
-    }
-}
-
-fn list<'a>(v: &'a Value, path: &str) -> Result<&'a [Value], Unreadable> {
-    match get(v, path) {
-        None => Ok(&[]),
-        Some(Value::Array(a)) => Ok(a),
-        Some(_) => bad(format!("settings: {path} is not a list")),
-    }
-}
-
-fn text<'a>(v: &'a Value, path: &str) -> Result<&'a str, Unreadable> {
-    match get(v, path) {
-        Some(Value::String(s)) => Ok(s),
-        Some(_) => bad(format!("settings: {path} is not a text")),
-        None => bad(format!("settings: {path} is missing")),
-    }
-}
-
 fn class(v: &Value, i: usize, c: &Value) -> Result<Class, Unreadable> {
-    let at = |key: &str| number(c, key).map_err(|e| Unreadable(format!("{e} (class {i})")));
+    let of_class = |e: Unreadable| Unreadable(format!("{e} (class {i})"));
+    let at = |key: &str| above_zero(c, key).map_err(of_class);
     let family = |key: &str, default: f64| -> Result<f64, Unreadable> {
         let path = format!("FamilyInfo.{key}");
         match list(v, &path)?.get(i) {
@@ -149,23 +130,39 @@
             Some(n) => n.as_f64().ok_or(Unreadable(format!("settings: {path}[{i}] is not a number"))),
         }
     };
-    let effect = match text(c, "Semantics")? {
+    let part = |key: &str, default: f64| match family(key, default)? {
+        n if (0.0..=1.0).contains(&n) => Ok(n),
+        _ => bad(format!("settings: FamilyInfo.{key}[{i}] is not a share from 0 to 1")),
+    };
+    let effect = match text(c, "Semantics").map_err(of_class)? {
         "pure" => Effect::Safe,
-        "token" => Effect::Keyed { window: at("WindowS")? },
+        "token" => {
+            number(c, "WindowS").map_err(of_class)?;
+            let window = at_least(c, "WindowS", 0.0).map_err(of_class)?.unwrap_or(0.0);
+            // Where not every holder drops a repeat, none is made: it might go to one that does not.
+            let all = get(c, "DedupScope").is_none_or(|scope| scope == "all");
+            Effect::Keyed { window: if all { window } else { 0.0 } }
+        }
         "side_effect" => Effect::Unsafe,
-        other => return bad(format!("settings: Semantics '{other}' of class {i} is unknown")),
+        other => return bad(format!("settings: Semantics '{other}' is unknown (class {i})")),
     };
-    let need = family("ClassNeed", 1.0)?;
+    let need = part("ClassNeed", 1.0)?;
+    if need <= 0.0 {
+        return bad(format!("settings: FamilyInfo.ClassNeed[{i}] is not above 0"));
+    }
+    let floor = part("LeastShare", need)?;
+    let path = format!("FamilyInfo.FetchParts[{i}]");
     Ok(Class {
         aim: at("AimS")?,
         deadline: at("DeadlineS")?,
-        worth: at("Worth")?,
-        late_worth: optional(c, "LateWorth")?.unwrap_or(0.0),
+        worth: number(c, "Worth").map_err(of_class)?,
+        late_worth: optional(c, "LateWorth").map_err(of_class)?.unwrap_or(0.0),
         effect,
-        need,
-        floor: family("LeastShare", need)?,
+        // No answer may hold less than the least share, a whole one neither.
+        need: need.max(floor),
+        floor,
         partial: family("ClassPartial", 1.0)?,
-        second_step: family("FetchParts", 0.0)? as u32,
+        second_step: whole(&path, family("FetchParts", 0.0)?, 0, u32::MAX)?,
         copies: true,
     })
 }
@@ -174,16 +171,15 @@
 pub fn parse(bytes: &[u8]) -> Result<Deployment, Unreadable> {
     let v: Value =
         serde_json::from_slice(bytes).map_err(|e| Unreadable(format!("settings are not valid JSON: {e}")))?;
+    form(&v)?;
     let mut classes = Vec::new();
-    if get(&v, "Classes").is_none() {
-        return bad("settings: Classes is missing");
-    }
     for (i, c) in list(&v, "Classes")?.iter().enumerate() {
         classes.push(class(&v, i, c)?);
     }
     let mut tenants = Vec::new();
     for t in list(&v, "Tenants")? {
-        tenants.push(Tenant { quota: optional(t, "QuotaPerS")?.unwrap_or(f64::MAX) });
+        let quota = at_least(t, "QuotaPerS", 0.0).map_err(|e| Unreadable(format!("{e} (Tenants)")))?;
+        tenants.push(Tenant { quota: quota.unwrap_or(f64::MAX) });
     }
     let mut names = Vec::new();
     for name in list(&v, "Reporting.Names")? {
@@ -208,65 +204,73 @@
         None => Discovery::Push,
         Some(_) => match text(&v, "Discovery")? {
             "push" => Discovery::Push,
-            "ask" => Discovery::Ask { within: optional(&v, "Safety.AskWithinS")?.unwrap_or(f64::MAX) },
+            "ask" => Discovery::Ask { within: at_least(&v, "Safety.AskWithinS", 0.0)?.unwrap_or(f64::MAX) },
             other => return bad(format!("settings: Discovery '{other}' is unknown")),
         },
     };
-    let budget = match optional(&v, "Safety.RepeatRatio")? {
-        None => None,
-        Some(share) => Some(Budget {
-            free: optional(&v, "Safety.MinExtra")?.unwrap_or(0.0),
-            share,
-            window: number(&v, "Safety.ResendSpanS")?,
+    // Either figure alone is a budget: the other is nought then.
+    let (share_told, free) =
+        (at_least(&v, "Safety.RepeatRatio", 0.0)?, at_least(&v, "Safety.MinExtra", 0.0)?);
+    let budget = match (share_told, free) {
+        (None, None) => None,
+        (share, free) => Some(Budget {
+            free: free.unwrap_or(0.0),
+            share: share.unwrap_or(0.0),
+            window: above_zero(&v, "Safety.ResendSpanS")?,
         }),
     };
     let cold = match optional(&v, "Safety.TipMultiple")? {
         None => None,
-        Some(multiple) => Some(ColdRule {
-            from: number(&v, "Safety.ColdFrom")?,
-            ramp: number(&v, "Safety.RampTimeS")?,
-            multiple,
-            after: number(&v, "Safety.TipAfterS")?,
+        Some(_) => Some(ColdRule {
+            from: share(&v, "Safety.ColdFrom")?,
+            ramp: above_zero(&v, "Safety.RampTimeS")?,
+            multiple: above_zero(&v, "Safety.TipMultiple")?,
+            after: above_zero(&v, "Safety.TipAfterS")?,
         }),
     };
     let retry_after = match flag(&v, "Limits.RetryAfter")? {
-        true => Some(optional(&v, "Limits.MaxRetryAfterS")?.unwrap_or(0.0)),
+        // Nought is no guidance.
+        true => at_least(&v, "Limits.MaxRetryAfterS", 0.0)?.filter(|s| *s > 0.0),
         false => None,
     };
+    let most_tries = count(&v, "Limits.MostTries", u32::from(u8::MAX))?;
     let settings = Settings {
         classes,
         tenants,
-        over_share_worth: optional(&v, "OverShareWorth")?.unwrap_or(1.0),
-        cells: number(&v, "FamilyInfo.Positions")? as u32,
-        reach: number(&v, "FamilyInfo.InARow")? as u32,
-        per_call: optional(&v, "FamilyInfo.PerCall")?.unwrap_or(1.0) as u32,
-        zone: ZoneId(optional(&v, "Zone")?.unwrap_or(0.0) as u8),
+        over_share_worth: at_least(&v, "OverShareWorth", 0.0)?.unwrap_or(1.0),
+        // A cell's number has 16 bits.
+        cells: whole("FamilyInfo.Positions", number(&v, "FamilyInfo.Positions")?, 1, 1 << 16)?,
+        reach: whole("FamilyInfo.InARow", number(&v, "FamilyInfo.InARow")?, 1, u32::MAX)?,
+        per_call: count(&v, "FamilyInfo.PerCall", u32::MAX)?.unwrap_or(1),
+        zone: ZoneId(whole("Zone", optional(&v, "Zone")?.unwrap_or(0.0), 0, u32::from(u8::MAX))? as u8),
         marks_retry: flag(&v, "Clients.MarksRetry")?,
-        coordinators: optional(&v, "ReplicasOfMe")?.unwrap_or(1.0) as u32,
+        coordinators: count(&v, "ReplicasOfMe", u32::MAX)?.unwrap_or(1),
         reports,
         discovery,
         cancel: flag(&v, "Limits.Cancel")?,
         probes: flag(&v, "Limits.Probes")?,
         second_copies: flag(&v, "Limits.SecondCopies")?,
         retry_after,
-        most_tries: number(&v, "Limits.MostTries")? as u32,
-        round: optional(&v, "PeriodS")?.unwrap_or(0.0),
+        // An attempt's number has 8 bits, and the last one stands for none.
+        most_tries: most_tries.ok_or(Unreadable("settings: Limits.MostTries is missing".into()))?,
+        round: at_least(&v, "PeriodS", 0.0)?.unwrap_or(0.0),
         budget,
         cold,
     };
     let sockets = Sockets {
-        connect: seconds(&v, "Limits.ConnectTimeoutS", 0.25)?,
-        idle: seconds(&v, "Limits.KeepaliveS", 30.0)?,
-        streams: optional(&v, "Limits.Multiplex")?.unwrap_or(1.0).max(1.0) as usize,
+        connect: span(&v, "Limits.ConnectTimeoutS", 0.25)?,
+        idle: span(&v, "Limits.KeepaliveS", 30.0)?,
+        streams: count(&v, "Limits.Multiplex", u32::MAX)?.unwrap_or(1) as usize,
     };
     Ok(Deployment {
         settings,
         reports: names,
         class_names: names_of(&v, "Classes")?,
+        tenant_names: names_of(&v, "Tenants")?,
         report_names: list(&v, "Reporting.Names")?.iter().map(plain).collect(),
         zones: list(&v, "Localities")?.iter().map(plain).collect(),
-        shards: optional(&v, "FamilyInfo.Shards")?.map(|n| n as u32),
-        max_open: optional(&v, "Limits.OpenCap")?.map_or(usize::MAX, |n| n as usize),
+        shards: count(&v, "FamilyInfo.Shards", u32::MAX)?,
+        max_open: count(&v, "Limits.OpenCap", u32::MAX)?.map_or(usize::MAX, |n| n as usize),
         sockets,
     })
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,8 @@
         ] {
             tally.count(since);
         }
+        // One that asks no more is forgotten.
+        self.tenants.retain(|_, tally| tally.count(since) > 0.0);
     }
 }
 
@@ -328,6 +330,10 @@
         _ if s.cells == 0 || s.reach == 0 => refuse("cells or reach"),
         _ if s.most_tries == 0 => refuse("most_tries"),
         _ if !s.round.is_finite() || s.round < 0.0 => refuse("round"),
+        // Guards against queries that are all over when they come: two rounds are left for the answer.
+        _ if s.classes.iter().any(|c| 2.0 * s.round >= c.deadline) => {
+            refuse("PeriodS, over half a DeadlineS")
+        }
         _ if !s.budget.as_ref().is_none_or(budget) => refuse("budget"),
         _ if !s.cold.as_ref().is_none_or(cold) => refuse("cold"),
         _ => Ok(()),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,7 +7,8 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
-use marlgap::interface::{Class, Effect};
+use marlgap::core::{Protection, Query};
+use marlgap::interface::{Class, ClassId, Effect, ShardId, TenantId};
 
 /// A class of a single step that needs all its parts, each safe to repeat.
 pub fn class() -> Class {
@@ -25,6 +26,13 @@
     }
 }
 
+/// A query of the first class over the first shards.
+pub fn query<C>(shards: u32, carried: C, protection: Option<Protection>) -> Query<C> {
+    let parts = (0..shards).map(|s| (ShardId(s), 1.0 / f64::from(shards))).collect();
+    let (class, tenant, deadline) = (ClassId(0), TenantId(0), std::time::Instant::now() + PATIENCE);
+    Query { class, tenant, deadline, repeat: false, parts, carried, protection }
+}
+
 /// Nothing here takes this long; a test that waits for more has failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -454,7 +454,8 @@
     assert!(run(&good.replace("127.0.0.1:0", "nowhere"), &api, &[]).contains("'nowhere' is not an address"));
     assert!(run(&good.replace("\"seed\":\"1\"", "\"seed\":\"xyz\""), &api, &[]).contains("seed"));
     assert!(run(&good.replace("Positions", "Other"), &api, &[]).contains("FamilyInfo.Positions"));
-    assert!(run(&good.replace("\"AimS\":4.0", "\"AimS\":-4.0"), &api, &[]).contains("classes"));
+    assert!(run(&good.replace("\"AimS\":4.0", "\"AimS\":-4.0"), &api, &[])
+        .contains("AimS is not above 0 (class 0)"));
     // The operator's file: each fault with its path, line and column.
     let search = ["serve", "--config", "marlgap.json5"];
     let faults = [
@@ -467,7 +468,12 @@
         ),
         ("\"overlaps\":\"overlap-check\"", "\"overlaps\":\"field-lookup\"", "has another index"),
         ("\"AimS\":4.0", "\"AimS\":\"4\"", "settings.Classes[0].AimS: "),
-        ("\"Shards\":24", "\"Shards\":0", "settings: FamilyInfo.Shards is missing or 0"),
+        (
+            "\"Shards\":24",
+            "\"Shards\":0",
+            "settings.FamilyInfo.Shards: FamilyInfo.Shards is not a whole number",
+        ),
+        ("\"Shards\":24", "\"Other\":24", "settings: FamilyInfo.Shards is missing or 0"),
     ];
     for (old, new, said) in faults {
         assert!(api.contains(old), "{old} in {api}");
--- a/tests/settings_effects.rs
+++ b/tests/settings_effects.rs
@@ -7,6 +7,8 @@
 use async_executor::LocalExecutor;
 use marlgap::core::*;
 use marlgap::interface::*;
+use marlgap::net::descriptors::Descriptors;
+use marlgap::net::nodes::{Carried, Entry, Nodes};
 
 mod common;
 
@@ -55,10 +57,7 @@
     let listed = |n| Listed { replica: ReplicaId(n), phase: Phase::Ready, weight: 1.0, ..Listed::default() };
     core.members(News::Full, (0..6).map(listed).collect());
     executor.spawn(core.clone().run()).detach();
-    let deadline = Instant::now() + common::PATIENCE;
-    let parts = vec![(ShardId(0), 1.0)];
-    let query = Query { class: ClassId(0), deadline, repeat: false, parts, carried: (), protection: None };
-    let taken = core.take(query).expect("room");
+    let taken = core.take(common::query(1, (), None)).expect("room");
     async_io::block_on(executor.run(async {
         holds.attempts(1).await;
         if let Some(outcome) = first {
@@ -97,3 +96,77 @@
         two_attempts(Some(never), |held| assert!(!held[1].0.too_late(held[1].2 + LATER), "{never:?}"));
     }
 }
+
+/// The first attempt of a part fails; the second goes to the data nodes.
+struct Second(Rc<Nodes>, std::cell::Cell<Option<Instant>>, ReplicaId);
+
+impl Transport for Second {
+    type Carried = Carried;
+    async fn call(self: Rc<Self>, call: Call<Self>, stop: Stop) -> Ended {
+        if self.1.replace(Some(Instant::now())).is_none() {
+            return Outcome::Error.into();
+        }
+        let call = Call::alone(self.2, call.carried.clone(), call.shard, call.step.clone(), call.deadline);
+        self.0.clone().call(call, stop).await
+    }
+    fn probe(self: Rc<Self>, _: ReplicaId) -> impl Future<Output = (bool, Option<Report>)> {
+        std::future::ready((false, None))
+    }
+    fn close_idle(&self, _: ReplicaId) {}
+}
+
+/// Guards the rule on repeats on the wire: the one place on the only connection is free after the window alone.
+#[test]
+fn no_frame_goes_out_for_a_repeat_that_found_a_place_too_late() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let folder = common::configure("window", &[address], address, 1, 75);
+    let config = std::fs::read_to_string(folder.join("config.json")).expect("read");
+    let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+    let mut told = marlgap::settings::parse(config["settings"].to_string().as_bytes()).expect("settings");
+    told.sockets.streams = 1;
+    told.settings.classes[0] = Class { effect: Effect::Keyed { window: WINDOW }, ..common::class() };
+    told.settings.reach = 1;
+    let (executor, log) = (Rc::new(LocalExecutor::new()), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes = Nodes::new(told.clone(), Rc::new(Descriptors::new(2)), executor.clone(), log);
+    let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
+    let transport = Rc::new(Second(nodes.clone(), Default::default(), replica));
+    let core = Core::new(told.settings, 1, 100, executor.clone(), transport.clone()).expect("served");
+    let listed = |n| Listed { replica: ReplicaId(n), phase: Phase::Ready, weight: 1.0, ..Listed::default() };
+    core.members(News::Full, (1..7).map(listed).collect());
+    executor.spawn(core.clone().run()).detach();
+    let deadline = Instant::now() + common::PATIENCE;
+    let alone = |id: &str| {
+        let carried = Rc::new(Carried::new(id.to_owned(), b"s".to_vec()));
+        let (hold, stop) = Stop::new();
+        let call = Call::alone(replica, carried, ShardId(0), Step::First, deadline);
+        (executor.spawn(nodes.clone().call(call, stop)), hold)
+    };
+    let ((held, is_held), (go, gone)) = (async_channel::bounded(1), async_channel::bounded::<Instant>(1));
+    let node = std::thread::spawn(move || {
+        use std::io::Write;
+        let mut stream = listener.accept().expect("accepted").0;
+        common::read_frame(&mut stream).expect("a frame");
+        held.send_blocking(()).expect("heard");
+        let after = gone.recv_blocking().expect("told") + LATER;
+        std::thread::sleep(after.saturating_duration_since(Instant::now()));
+        stream.write_all(&common::frame("a before.0 served 1 -\nV")).expect("written");
+        let next = common::read_frame(&mut stream).expect("a frame");
+        stream.write_all(&common::frame("a behind.0 served 1 -\nV")).expect("written");
+        next
+    });
+    async_io::block_on(executor.run(async {
+        let before = alone("before");
+        is_held.recv().await.expect("held");
+        let late = Carried::new("late".to_owned(), b"s".to_vec());
+        let taken = core.take(common::query(1, late, None)).expect("room");
+        let begun = Instant::now();
+        go.send(begun).await.expect("heard");
+        // Its one attempt may have run, and the other one was never sent: no refusal.
+        assert_eq!(taken.outcome().await, Final::Failed);
+        assert!(transport.1.get().is_some_and(|second| second > begun), "there was a second attempt");
+        let behind = alone("behind");
+        assert_eq!((before.0.await.outcome, behind.0.await.outcome), (Outcome::Served, Outcome::Served));
+    }));
+    assert!(node.join().expect("ran").starts_with("q behind.0 "));
+}
--- a/tests/settings_served.rs
+++ b/tests/settings_served.rs
@@ -62,3 +62,48 @@
     let mut client = connect(program.address);
     while ask(&mut client, "GET /_health HTTP/1.1\r\nHost: t", "").0 != 200 {}
 }
+
+/// What a site may leave out of the file, what an editor puts before it, and fields that we do not know.
+#[test]
+fn a_bare_file_with_unknown_fields_is_served() {
+    let node = SocketAddr::from(([127, 0, 0, 1], 9));
+    let list = format!(r#"{{"seq":7,"whole":true,"hosts":[{}]}}"#, host(0, &node, "resting"));
+    let (at, calls) = discovery(vec![http("200 OK", &list)]);
+    let folder = configure("bare", &[node], at, 1, 75);
+    edit(&folder, |config| {
+        let file = config.as_object_mut().expect("an object");
+        ["limits", "seed", "name", "known"].iter().for_each(|key| drop(file.remove(*key)));
+        file.insert("new".into(), 5.into());
+    });
+    let path = folder.join("config.json");
+    let text = std::fs::read_to_string(&path).expect("read");
+    std::fs::write(path, format!("\u{feff}{text}")).expect("written");
+    let program = Program::start(&folder, false);
+    calls.recv_timeout(PATIENCE).expect("discovery is asked");
+    program.log("entries: 1, whole: true, seq: 7");
+}
+
+/// Whoever names a tenant that is not told is served as well; two names are none.
+#[test]
+fn a_tenant_is_read_where_tenants_are_told() {
+    let node = SocketAddr::from(([127, 0, 0, 1], 9));
+    for tenants in [Value::Null, serde_json::json!([{"Name": "t", "QuotaPerS": 1.0}])] {
+        let told = !tenants.is_null();
+        let folder = configure(if told { "tenants" } else { "tenantless" }, &[node], node, 1, 75);
+        edit(&folder, |config| config["settings"]["Tenants"] = tenants);
+        let program = Program::start(&folder, false);
+        let mut client = connect(program.address);
+        let owners = ["", "\r\nReq-Owner: t", "\r\nReq-Owner: stranger", "\r\nReq-Owner: t\r\nReq-Owner: u"];
+        for (n, owner) in owners.iter().enumerate() {
+            let head = format!(
+                "POST /api HTTP/1.1\r\nHost: t\r\nReq-Id: q{n}\r\nReq-Kind: field-lookup\r\nReq-Deadline-Ms: 300{owner}"
+            );
+            let body = r#"{"tablets":[{"tablet":0,"fraction":1}],"statement":"s"}"#;
+            let (status, body) = ask(&mut client, &head, body);
+            let unusable = told && n == 3;
+            // Nobody listens at the data node.
+            assert_eq!(status, if unusable { 400 } else { 503 }, "{owner:?}: {body}");
+            assert!(!unusable || body.contains("Req-Owner"), "{body}");
+        }
+    }
+}
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -5,7 +5,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use common::class;
@@ -217,10 +216,7 @@
     fn take(&self, shards: u32, earlier: &[(u8, u32, Earlier)]) -> Taken<Stub> {
         let earlier = earlier.iter().map(|(step, shard, e)| ((*step, ShardId(*shard)), e.clone()));
         let protection = Some(Protection { gate: self.gate.clone(), earlier: earlier.collect() });
-        let parts = (0..shards).map(|s| (ShardId(s), 1.0 / f64::from(shards))).collect();
-        let deadline = Instant::now() + Duration::from_secs(20);
-        let query = Query { class: ClassId(0), deadline, repeat: false, parts, carried: (), protection };
-        self.core.take(query).expect("room")
+        self.core.take(common::query(shards, (), protection)).expect("room")
     }
     fn run<T>(&self, future: impl Future<Output = T>) -> T {
         async_io::block_on(self.executor.run(future))
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -156,5 +156,7 @@
     assert!(with(&SETTINGS.replace("\"AimS\": 1.0, ", "")).contains("AimS"));
     assert!(with(&SETTINGS.replace("\"MostTries\": 3", "\"MostTries\": \"x\"")).contains("MostTries"));
     assert!(with(&SETTINGS.replace("pure", "odd")).contains("Semantics"));
-    assert!(with(&SETTINGS.replace("\"AimS\": 1.0", "\"AimS\": -1.0")).contains("classes"));
+    assert!(
+        with(&SETTINGS.replace("\"AimS\": 1.0", "\"AimS\": -1.0")).contains("AimS is not above 0 (class 0)")
+    );
 }
