--- a/src/main.rs
+++ b/src/main.rs
@@ -31,6 +31,8 @@
 const COUNTS_EVERY: Duration = Duration::from_secs(10);
 /// Descriptors kept for the listeners, discovery, the log, files and the like.
 const RESERVED: usize = 32;
+/// The fewest for connections to clients and to what is behind.
+const LEAST_SHARED: usize = 16;
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -77,7 +79,7 @@
         + usize::from(query_api.is_some())
         + usize::from(grpc.is_some());
     let members = fleet.as_ref().map_or(0, Fleet::descriptors);
-    let all = config.sockets.saturating_sub(RESERVED + members).max(16) / fronts.max(1);
+    let all = config.sockets.saturating_sub(RESERVED + members).max(LEAST_SHARED) / fronts.max(1);
     let acceptor = |descriptors: Rc<Descriptors>| {
         Acceptor::new(executor.clone(), closing.clone(), descriptors, log.clone())
     };
@@ -90,16 +92,17 @@
     let (moved, moves) = async_channel::bounded(1);
 
     if let Some(platform) = config.platform {
+        // First of all what may end the start: nothing is logged before it.
+        platform.known()?;
+        let listener = listen(platform.listen)?;
         let told = Rc::new(platform.told.clone());
         let descriptors = Rc::new(Descriptors::new(all));
         let nodes = Nodes::new((*told).clone(), descriptors.clone(), executor.clone(), log.clone());
-        let settings = told.settings.clone();
+        let settings = told.over_sockets();
         let core = Core::new(settings, config.seed, told.max_open, executor.clone(), nodes.clone())
             .map_err(ConfigError::Settings)?;
-        platform.known()?;
         let how = (told.settings.discovery, told.zones.clone());
         let discovery = Discovery::new(platform.discovery, moves, core.clone(), nodes, how, log.clone());
-        let listener = listen(platform.listen)?;
         let address = listener.get_ref().local_addr().unwrap_or(platform.listen);
         info!(log, "listening"; "name" => &platform.name, "address" => %address);
         let (open, said) = Default::default();
