--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -55,8 +55,10 @@
         if copy {
             self.recent.copies.add(self.now);
         }
-        // Where no second copy may run beside it, a late attempt must end before another can start.
-        let timeout = (!self.s.second_copies).then_some(2.0 * HEDGE_TAIL * self.pace.tail);
+        // Where no second copy may run beside it, a late attempt must end before another can start; where it
+        // cannot be called off either, its replica goes on with it whatever we wait.
+        let ends = !self.s.second_copies && self.s.cancel;
+        let timeout = ends.then_some(2.0 * HEDGE_TAIL * self.pace.tail);
         self.out.push(Action::Send { part, replica, timeout });
     }
 
