Tell whose end a data node's answer is, and take no cut answer for a value

Cause: (1) attempts of a part share its id, so a doubled 'skipped', or the end of a given-up attempt, was told as the end of a later attempt on that connection, which runs on: told as never run, a part that must not run twice could be sent again (exchange.rs, answered). (2) An answer cut short took the next frame's first bytes in, and was served as a value; a value that is no UTF-8 was served with other bytes (frames.rs, answer). (3) Of more than 64 given-up parts the oldest were forgotten, and their answers took a sound connection of more places along (connection.rs, MOST_GIVEN_UP). (4) Answers to no probe were taken without bound. (5) What was called off unwritten counted as use of its connection, so we closed it too late.

Change: a second 'skipped' of a part on one connection proves nothing; an end without a value is that of the attempt given up first; an answer that holds a zero, or a value that is no text, cannot be used; given-up parts that hold a place are never forgotten, and 64 later ones beside them; an answer to no probe ends its connection; only bytes count as use.

--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -11,6 +11,8 @@
     Length(usize),
     Letter(u8),
     Line,
+    Cut,
+    Value,
 }
 
 impl fmt::Display for FrameError {
@@ -19,6 +21,8 @@
             FrameError::Length(n) => write!(f, "a frame of {n} bytes"),
             FrameError::Letter(l) => write!(f, "a frame of the unknown letter {l}"),
             FrameError::Line => f.write_str("a frame whose line cannot be read"),
+            FrameError::Cut => f.write_str("a frame that was cut short, with the next one in it"),
+            FrameError::Value => f.write_str("a value that is no text"),
         }
     }
 }
@@ -86,7 +90,18 @@
         _ => 0.0,
     };
     // A report that cannot be read is none. Guards a good value against what merely comes with it.
-    Ok(Some(Frame::Answer { id, end, score, report: word().unwrap_or("-"), value: &rest[line + 1..] }))
+    let (report, value) = (word().unwrap_or("-"), &rest[line + 1..]);
+    // Guards against what is no value of that part: where a frame falls short of its length, the next one's first
+    // bytes are taken into it. These begin with a zero, for no length reaches 2^24, and no text holds one.
+    const { assert!(MOST < 1 << 24) };
+    if whole && rest.contains(&0) {
+        return Err(FrameError::Cut);
+    }
+    // It stands in a text for the client, who would get another one than the data node made.
+    if whole && end == End::Served && std::str::from_utf8(value).is_err() {
+        return Err(FrameError::Value);
+    }
+    Ok(Some(Frame::Answer { id, end, score, report, value }))
 }
 
 /// The id that a frame names which cannot be used, if it has one where an answer's would stand.
--- a/src/net/nodes/connection.rs
+++ b/src/net/nodes/connection.rs
@@ -13,8 +13,9 @@
 
 /// For how long behind its time a given-up part may still hold its place.
 const LATE: Duration = Duration::from_secs(1);
-/// Given up parts that are remembered for a connection, so that their answers are known when they come late.
-const MOST_GIVEN_UP: usize = 64;
+/// Given-up parts that are remembered for a connection beyond those that hold a place there, so that their answers
+/// are known when they come very late.
+const MOST_LATE: usize = 64;
 
 /// Where the answer to a probe goes: whether the data node answered, and its report.
 pub type Probe = Sender<(bool, Option<Report>)>;
@@ -34,6 +35,13 @@
     pub end: Ending,
 }
 
+impl Item {
+    /// Whether it still holds its place once it is given up.
+    fn holds(&self, now: Instant) -> bool {
+        self.deadline + LATE > now
+    }
+}
+
 pub enum Out {
     Part(Rc<Item>),
     GiveUp(String),
@@ -41,6 +49,8 @@
 }
 
 pub struct Connection {
+    /// None has the number of another.
+    pub number: u64,
     pub queue: RefCell<VecDeque<Out>>,
     /// Written and not answered, oldest first.
     pub waiting: RefCell<Vec<Rc<Item>>>,
@@ -62,8 +72,9 @@
 }
 
 impl Connection {
-    pub fn new() -> Connection {
+    pub fn new(number: u64) -> Connection {
         Connection {
+            number,
             queue: RefCell::default(),
             waiting: RefCell::default(),
             under_way: RefCell::default(),
@@ -89,7 +100,7 @@
     /// Parts that hold one of its places. Given-up ones do too, until they are answered or well out of time: what
     /// runs there goes on, and a slow data node is late with it.
     pub fn carried(&self, now: Instant) -> usize {
-        let given_up = self.given_up.borrow().iter().filter(|item| item.deadline + LATE > now).count();
+        let given_up = self.given_up.borrow().iter().filter(|item| item.holds(now)).count();
         self.waiting.borrow().len() + given_up
     }
 
@@ -176,8 +187,12 @@
             return;
         }
         let mut given_up = self.given_up.borrow_mut();
-        if given_up.len() == MOST_GIVEN_UP {
-            given_up.pop_front();
+        // Those that hold a place are bounded by its places, and never forgotten: guards a sound connection of many
+        // places against its own answers being taken for spoilt ones.
+        let now = Instant::now();
+        let late = |item: &Rc<Item>| !item.holds(now);
+        if given_up.iter().filter(|item| late(item)).count() >= MOST_LATE {
+            given_up.iter().position(late).map(|n| given_up.remove(n));
         }
         given_up.push_back(item.clone());
         if cancel && !self.closed.get() {
@@ -185,6 +200,24 @@
         }
     }
 
+    /// The part that an answer with this id is for, taken out, or `None` where nobody waits for it: `Err` where that
+    /// is no wonder, since it was given up. Attempts of a part share its id: what brings no value ends the one that was
+    /// given up first. Guards against taking its end for that of the later one, which runs on.
+    pub fn answered(&self, id: &str, served: bool) -> Result<Option<Rc<Item>>, ()> {
+        let named = |item: &Rc<Item>| item.id == id;
+        let (mut waiting, mut given_up) = (self.waiting.borrow_mut(), self.given_up.borrow_mut());
+        let (here, late) = (waiting.iter().position(named), given_up.iter().position(named));
+        match (here, late) {
+            (Some(n), None) => Ok(Some(waiting.remove(n))),
+            (Some(n), Some(_)) if served => Ok(Some(waiting.remove(n))),
+            (_, Some(n)) => {
+                given_up.remove(n);
+                Err(())
+            }
+            (None, None) => Ok(None),
+        }
+    }
+
     pub async fn wait(&self, until: impl Fn() -> bool) {
         while !until() {
             let listener = self.wake.listen();
--- a/src/net/nodes/exchange.rs
+++ b/src/net/nodes/exchange.rs
@@ -106,7 +106,10 @@
             bytes.clear();
             bytes.shrink_to(MOST_KEPT);
             let (parts, probe) = self.next_frame(replica, connection, &mut bytes);
-            connection.used.set(Instant::now());
+            // All that was queued may have been called off: for the data node it has then rested on.
+            if !bytes.is_empty() {
+                connection.used.set(Instant::now());
+            }
             if let Some(probe) = probe {
                 connection.probes.borrow_mut().push_back(probe);
             }
@@ -264,36 +267,33 @@
         };
         match frame {
             Frame::Answer { id, end, score, report, value } => {
-                let mut waiting = connection.waiting.borrow_mut();
-                let Some(n) = waiting.iter().position(|item| item.id == id) else {
-                    let mut given_up = connection.given_up.borrow_mut();
-                    let Some(n) = given_up.iter().position(|item| item.id == id) else { return false };
-                    given_up.remove(n);
-                    drop(waiting);
-                    owing(connection);
-                    return true;
+                let item = match connection.answered(id, end == frames::End::Served) {
+                    Ok(None) => return false,
+                    Ok(item) => item,
+                    Err(()) => None,
                 };
-                let item = waiting.remove(n);
-                drop(waiting);
                 owing(connection);
+                let Some(item) = item else { return true };
                 let report = self.report(report);
                 let (outcome, served) = match end {
                     // Copied: the value outlives the buffer, until its query is answered.
                     frames::End::Served => (Outcome::Served, Some((value.into(), score))),
                     frames::End::Broke => (Outcome::Error, None),
-                    frames::End::Skipped => (Outcome::TurnedAway, None),
+                    frames::End::Skipped if item.carried.turned_away(&item.id, connection) => {
+                        (Outcome::TurnedAway, None)
+                    }
+                    // The one before may have come twice: this proves nothing.
+                    frames::End::Skipped => (Outcome::Dropped, None),
                 };
                 drop(item.end.0.try_send(Ended { outcome, served, report }));
             }
             Frame::Probe { served } => {
-                if let Some(done) = connection.probes.borrow_mut().pop_front() {
-                    let _ = done.try_send((served, None));
-                }
+                let Some(done) = connection.probes.borrow_mut().pop_front() else { return false };
+                let _ = done.try_send((served, None));
             }
             Frame::Load { report } => {
-                if let Some(done) = connection.probes.borrow_mut().pop_front() {
-                    let _ = done.try_send((report.is_some(), report.and_then(|r| self.report(r))));
-                }
+                let Some(done) = connection.probes.borrow_mut().pop_front() else { return false };
+                let _ = done.try_send((report.is_some(), report.and_then(|r| self.report(r))));
             }
             Frame::Error { .. } => {}
         }
--- a/src/net/nodes/mod.rs
+++ b/src/net/nodes/mod.rs
@@ -38,11 +38,23 @@
 pub struct Carried {
     pub id: String,
     pub statement: Vec<u8>,
+    /// Parts that were turned away, and on which connection. At most as many as attempts.
+    turned_away: RefCell<Vec<(String, u64)>>,
 }
 
 impl Carried {
     pub fn new(id: String, statement: Vec<u8>) -> Carried {
-        Carried { id, statement }
+        Carried { id, statement, turned_away: RefCell::default() }
+    }
+
+    /// Note that a part was turned away there; `false` if it was so before. Guards parts that must not run twice: an
+    /// answer may come doubled, and one that turned an earlier attempt away proves nothing about a later one.
+    fn turned_away(&self, id: &str, connection: &Connection) -> bool {
+        let at = connection.number;
+        let mut noted = self.turned_away.borrow_mut();
+        let new = !noted.iter().any(|(other, there)| other == id && *there == at);
+        noted.push((id.to_owned(), at));
+        new
     }
 }
 
@@ -78,6 +90,8 @@
     names: RefCell<BTreeMap<String, ReplicaId>>,
     /// The last number given; none is given twice.
     last: Cell<u64>,
+    /// Connections that were opened so far: the number of the last one.
+    opened: Cell<u64>,
     told: Deployment,
     executor: Rc<LocalExecutor<'static>>,
     log: Logger,
@@ -92,8 +106,8 @@
         executor: Rc<LocalExecutor<'static>>,
         log: Logger,
     ) -> Rc<Self> {
-        let (nodes, names, last, said) = Default::default();
-        Rc::new(Nodes { nodes, names, last, told, executor, log, said, descriptors })
+        let (nodes, names, last, opened, said) = Default::default();
+        Rc::new(Nodes { nodes, names, last, opened, told, executor, log, said, descriptors })
     }
 
     /// The number under which a data node is known to the module; the same for as long as it is known.
@@ -190,7 +204,8 @@
             longest.counted.set(false);
         }
         let node = nodes.get_mut(&replica)?;
-        let connection = Rc::new(Connection::new());
+        self.opened.set(self.opened.get() + 1);
+        let connection = Rc::new(Connection::new(self.opened.get()));
         node.connections.push(connection.clone());
         let life = self.clone().serve(replica, node.address, connection.clone());
         self.executor.spawn(life).detach();
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -104,11 +104,12 @@
     let stream = world.accept(1);
     // Its second frame unread, the close is a reset.
     while stream.peek(&mut [0]).expect("a frame") == 0 {}
+    // Nothing is left to run; then the third is queued, and its connection has not looked yet.
+    while world.executor.try_tick() {}
+    let unsent = world.begin(3);
+    assert!(world.executor.try_tick());
     send(&stream, "a a1.1 served 1 -\nV");
     drop(stream);
-    let unsent = world.begin(3);
-    // Queued, and the writer run, before we hear of what came.
-    while world.executor.try_tick() {}
     assert_eq!(world.outcome(served), Outcome::Served);
     assert_eq!(world.outcome(lost), Outcome::Dropped);
     assert_eq!(world.outcome(unsent), Outcome::NotSent);
@@ -172,3 +173,130 @@
     assert_eq!(world.outcome(blocked), Outcome::NotSent);
     assert_eq!(world.outcome(out), Outcome::Dropped);
 }
+
+/// Guards parts that must not run twice: an answer that comes twice turns one attempt away, not the next as well.
+#[test]
+fn a_doubled_answer_does_not_prove_that_the_next_attempt_never_ran() {
+    let world = World::new("nodes_doubled", |_| ());
+    let first = world.begin(1);
+    let stream = world.accept(1);
+    send(&stream, "a a1.1 skipped 0 -\n");
+    assert_eq!(world.outcome(first), Outcome::TurnedAway);
+    // The next attempt is written, and runs, when the first one's answer comes again.
+    let second = world.begin(1);
+    assert!(world.next(&stream).is_some_and(|f| f.starts_with("q a1.1 ")));
+    send(&stream, "a a1.1 skipped 0 -\n");
+    assert_eq!(world.outcome(second), Outcome::Dropped);
+    // On another connection nothing can be doubled. This one ends by an answer that nobody waits for.
+    send(&stream, "a zz.1 served 1 -\nV");
+    assert_eq!(world.next(&stream), None);
+    let third = world.begin(1);
+    let stream = world.accept(1);
+    send(&stream, "a a1.1 skipped 0 -\n");
+    assert_eq!(world.outcome(third), Outcome::TurnedAway);
+}
+
+/// Guards the rule on second copies: the end of an attempt that was given up is not that of the next one.
+#[test]
+fn what_ends_a_given_up_attempt_leaves_the_next_one_out() {
+    for end in ["skipped", "broke"] {
+        let world = World::new("nodes_next", |_| ());
+        let first = world.begin(1);
+        let stream = world.accept(1);
+        drop(first.1);
+        assert_eq!(async_io::block_on(world.executor.run(first.0)).outcome, Outcome::Cancelled);
+        let second = world.begin(1);
+        assert_eq!(world.next(&stream).as_deref(), Some("c a1.1"));
+        assert!(world.next(&stream).is_some_and(|f| f.starts_with("q a1.1 ")));
+        send(&stream, &format!("a a1.1 {end} 0 -\n"));
+        send(&stream, "a a1.1 served 1 -\nV");
+        assert_eq!(world.outcome(second), Outcome::Served, "{end}");
+    }
+}
+
+/// Guards sound connections of many places: answers to what was given up there are known, however many these are.
+#[test]
+fn answers_to_all_that_was_given_up_are_known_at_any_number_of_places() {
+    const PLACES: u32 = 150;
+    let world = World::new("nodes_many", |told| told.sockets.streams = PLACES as usize);
+    let mut begun: Vec<_> = (0..PLACES).map(|n| world.begin(n)).collect();
+    let stream = world.accept(PLACES as usize);
+    let kept = begun.pop().expect("begun");
+    for (attempt, hold) in begun {
+        drop(hold);
+        assert_eq!(async_io::block_on(world.executor.run(attempt)).outcome, Outcome::Cancelled);
+    }
+    (1..PLACES).for_each(|n| assert_eq!(world.next(&stream), Some(format!("c a1.{}", n - 1))));
+    (1..PLACES).for_each(|n| send(&stream, &format!("a a1.{} broke 0 -\n", n - 1)));
+    send(&stream, "a a1.149 served 1 -\nV");
+    assert_eq!(world.outcome(kept), Outcome::Served);
+    // It is as sound as before: the next part comes on it, or on none.
+    let next = world.begin(PLACES);
+    let frame = world.next(&stream);
+    assert!(frame.as_ref().is_some_and(|f| f.starts_with("q a1.150 ")), "{frame:?}");
+    send(&stream, "a a1.150 served 1 -\nV");
+    assert_eq!(world.outcome(next), Outcome::Served);
+}
+
+/// Guards values: one that was cut short, with the next answer in it, is nobody's.
+#[test]
+fn an_answer_cut_short_takes_no_bytes_of_the_next_one_for_its_value() {
+    let whole = frame("a a1.1 served 1 -\n5be2a07c19f04d63");
+    // From within its id to its last byte.
+    for cut in 7..whole.len() {
+        let world = World::new("nodes_cut", |_| ());
+        let (one, two) = (world.begin(1), world.begin(2));
+        let stream = world.accept(2);
+        (&stream)
+            .write_all(&[&whole[..cut], &frame("a a1.2 served 1 -\n9be2a07c19f04d63")].concat())
+            .expect("written");
+        let ends = [world.outcome(one), world.outcome(two)];
+        assert!(
+            ends.iter().all(|o| matches!(o, Outcome::Error | Outcome::Dropped)),
+            "cut at {cut}: {ends:?}"
+        );
+    }
+}
+
+/// Guards values that the client could not get as they were made.
+#[test]
+fn a_value_that_is_no_text_is_an_error_of_its_part() {
+    let world = World::new("nodes_value", |_| ());
+    let one = world.begin(1);
+    let stream = world.accept(1);
+    let mut bytes = frame("a a1.1 served 1 -\nVV");
+    bytes.splice(bytes.len() - 1.., [0xff]);
+    (&stream).write_all(&bytes).expect("written");
+    assert_eq!(world.outcome(one), Outcome::Error);
+}
+
+/// Guards against a flood: a probe's answer that was not asked for ends its connection, as any other does.
+#[test]
+fn an_answer_to_no_probe_ends_its_connection() {
+    for text in ["p served", "l inflight=1"] {
+        let world = World::new("nodes_probe", |_| ());
+        let one = world.begin(1);
+        let stream = world.accept(1);
+        send(&stream, text);
+        assert_eq!(world.outcome(one), Outcome::Error, "{text}");
+    }
+}
+
+/// Guards against requests that cross a data node's close: what was called off unwritten is no use of a connection.
+#[test]
+fn a_connection_rests_on_while_all_that_is_queued_there_is_called_off() {
+    let world = World::new("nodes_rest", |told| told.sockets.idle = Duration::from_secs(1));
+    let one = world.begin(1);
+    let stream = world.accept(1);
+    send(&stream, "a a1.1 served 1 -\nV");
+    assert_eq!(world.outcome(one), Outcome::Served);
+    let rests = Instant::now();
+    std::thread::sleep(Duration::from_millis(500));
+    while world.executor.try_tick() {}
+    let two = world.begin(2);
+    assert!(world.executor.try_tick());
+    drop(two.1);
+    assert_eq!(async_io::block_on(world.executor.run(two.0)).outcome, Outcome::Cancelled);
+    assert_eq!(world.next(&stream), None);
+    assert!(rests.elapsed() < Duration::from_secs(1), "closed after {:?}", rests.elapsed());
+}
