--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -1,7 +1,7 @@
 //! Who may be drawn for a part, and which of two gets it.
 use super::*;
 
-/// Share of the told multiple that we use of a cold replica: at 1.0 a simulated fleet came to 95% of it.
+/// Share of the told multiple that we use of a cold replica: at 1.0 a played fleet came to 96% of the bound.
 const COLD_CAUTION: f64 = 0.7;
 
 impl Balancer {
