--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -1,8 +1,9 @@
 //! Who may be drawn for a part, and which of two gets it.
 use super::*;
 
-/// Share of the told multiple that we use of a cold replica: at 1.0 a played fleet came to 96% of the bound.
-const COLD_CAUTION: f64 = 0.7;
+/// Share of the told multiple that we use of a cold replica: a simulated fleet came to 93% of the rule's limit, at
+/// 1.0 to 96%. At nine tenths of full warm ones it leaves N + 2 root N + 2 some four deviations (`docs/acceptance.md`).
+const COLD_CAUTION: f64 = 0.85;
 
 impl Balancer {
     /// Reported queue, else parts in flight reported, else our own parts there.
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -49,7 +49,7 @@
     let mut client = resting(&program);
     program.signal("-TERM");
     ends(&mut client);
-    send(&mut client, &query("late", "field-lookup", 4000));
+    send(&mut client, &request("late", "field-lookup", 4000));
     // Behind its last byte it can be read whole, and must not be reset.
     client.shutdown(std::net::Shutdown::Write).expect("shut");
     ends(&mut client);
@@ -67,11 +67,11 @@
     program.log("stopping");
     program.stop();
     for (n, client) in rested.iter_mut().enumerate() {
-        send(client, &query(&format!("r{n}"), "field-lookup", 4000));
+        send(client, &request(&format!("r{n}"), "field-lookup", 4000));
     }
     let mut new: Vec<_> = (0..8).map(|_| connect(program.address)).collect();
     for (n, client) in new.iter_mut().enumerate() {
-        send(client, &query(&format!("n{n}"), "field-lookup", 4000));
+        send(client, &request(&format!("n{n}"), "field-lookup", 4000));
     }
     program.signal("-TERM");
     // Now the end of rest and all these bytes are there at once.
@@ -95,9 +95,9 @@
 fn half_a_request_at_the_end_of_service_gets_a_whole_answer() {
     let (_node, mut program) = start("clients_half", true);
     let (mut rests, mut goes_on, mut stops) = (resting(&program), resting(&program), resting(&program));
-    let text = query("whole", "field-lookup", 4000);
+    let text = request("whole", "field-lookup", 4000);
     send(&mut goes_on, &text[..text.len() - 9]);
-    send(&mut stops, &query("half", "field-lookup", 4000)[..40]);
+    send(&mut stops, &request("half", "field-lookup", 4000)[..40]);
     resting(&program);
     let told = Instant::now();
     program.signal("-TERM");
@@ -119,7 +119,7 @@
 fn all_that_was_taken_is_answered_before_the_kill() {
     let (node, mut program) = start("clients_kill", false);
     let mut before = connect(program.address);
-    send(&mut before, &query("before", "overlap-check", 8000));
+    send(&mut before, &request("before", "overlap-check", 8000));
     node.frame("q before.", &[]);
     let mut rests = resting(&program);
     // One that never reads its answers must not keep the program either.
@@ -127,8 +127,8 @@
     program.signal("-TERM");
     let told = Instant::now();
     program.log("stopping");
-    send(&mut rests, &query("after", "overlap-check", 8000));
-    send(&mut deaf, &query("deaf", "overlap-check", 8000));
+    send(&mut rests, &request("after", "overlap-check", 8000));
+    send(&mut deaf, &request("deaf", "overlap-check", 8000));
     let statuses = [status(&mut before), status(&mut rests)];
     assert!(statuses.iter().all(|s| *s >= 500), "{statuses:?}");
     program.ended();
@@ -141,7 +141,7 @@
     let (node, program) = start("clients_flood", false);
     for (id, goes) in [("stays", false), ("goes", true)] {
         let mut client = connect(program.address);
-        send(&mut client, &query(id, "overlap-check", 8000));
+        send(&mut client, &request(id, "overlap-check", 8000));
         node.frame(&format!("q {id}."), &[]);
         // The machine takes some; the rest may meet the end.
         let _ = client.write_all(&vec![b'x'; 200 * 1024]);
@@ -154,7 +154,7 @@
     // The next one is served as ever.
     node.willing.store(true, Ordering::SeqCst);
     let mut client = connect(program.address);
-    send(&mut client, &query("next", "field-lookup", 4000));
+    send(&mut client, &request("next", "field-lookup", 4000));
     assert_eq!(status(&mut client), 200);
 }
 
@@ -166,20 +166,20 @@
     let (mut rested, mut pipelined) = (resting(&program), resting(&program));
     program.stop();
     let mut new = connect(program.address);
-    send(&mut rested, &query("rested", "field-lookup", 4000));
-    send(&mut new, &query("new", "field-lookup", 4000));
-    let two = query("first", "field-lookup", 4000) + &query("second", "field-lookup", 4000);
+    send(&mut rested, &request("rested", "field-lookup", 4000));
+    send(&mut new, &request("new", "field-lookup", 4000));
+    let two = request("first", "field-lookup", 4000) + &request("second", "field-lookup", 4000);
     send(&mut pipelined, &two);
     let ports = [&rested, &new, &pipelined].map(|c| c.local_addr().expect("bound").port());
     drop((rested, new, pipelined));
     ports.iter().for_each(|port| until_heard(*port));
     let mut next = connect(program.address);
-    send(&mut next, &query("next", "field-lookup", 4000));
+    send(&mut next, &request("next", "field-lookup", 4000));
     program.signal("-CONT");
     assert_eq!(status(&mut next), 200);
     node.frame("q next.", &["rested", "new", "first", "second"]);
     // Once more, for what might have been written behind it.
-    send(&mut next, &query("last", "field-lookup", 4000));
+    send(&mut next, &request("last", "field-lookup", 4000));
     assert_eq!(status(&mut next), 200);
     node.frame("q last.", &["rested", "new", "first", "second"]);
 }
@@ -195,11 +195,11 @@
     std::fs::write(&path, text.replace("\"sockets\":1024", "\"sockets\":48")).expect("written");
     let program = Program::start(&folder, false);
     let mut half = connect(program.address);
-    send(&mut half, &query("half", "field-lookup", 4000)[..40]);
+    send(&mut half, &request("half", "field-lookup", 4000)[..40]);
     let mut mute: Vec<_> = (0..11).map(|_| connect(program.address)).collect();
     let mut asks: Vec<_> = (0..4).map(|_| connect(program.address)).collect();
     for (n, client) in asks.iter_mut().enumerate() {
-        send(client, &query(&format!("a{n}"), "field-lookup", 4000));
+        send(client, &request(&format!("a{n}"), "field-lookup", 4000));
     }
     assert_eq!(status(&mut half), 503);
     ends(&mut half);
@@ -215,7 +215,7 @@
 fn a_client_that_holds_its_body_back_is_told_to_go_on() {
     let (_node, program) = start("clients_continue", true);
     let mut client = connect(program.address);
-    let text = query("holds", "field-lookup", 4000).replace("Host: t", "Expect: 100-continue");
+    let text = request("holds", "field-lookup", 4000).replace("Host: t", "Expect: 100-continue");
     let (head, body) = text.split_once("\r\n\r\n").expect("a head");
     send(&mut client, &head[..30]);
     // These are served behind the first piece.
@@ -260,7 +260,7 @@
     let begun = Instant::now();
     let mut client = resting(&program);
     for n in 0..50 {
-        send(&mut client, &query(&format!("q{n}"), "field-lookup", 4000));
+        send(&mut client, &request(&format!("q{n}"), "field-lookup", 4000));
         assert_eq!(status(&mut client), 200);
     }
     ends(&mut mute);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -314,7 +314,7 @@
 }
 
 /// The bytes of a query for one tablet.
-pub fn query(id: &str, kind: &str, wait: u32) -> String {
+pub fn request(id: &str, kind: &str, wait: u32) -> String {
     let body = r#"{"tablets":[{"tablet":0,"fraction":1}],"statement":"s"}"#;
     format!(
         "POST /api HTTP/1.1\r\nHost: t\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline-Ms: {wait}\r\n\
