--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -1,8 +1,8 @@
 //! Who may be drawn for a part, and which of two gets it.
 use super::*;
 
-/// Share of the told multiple that we use of a cold replica: a simulated fleet came to 93% of the rule's limit, at
-/// 1.0 to 96%. At nine tenths of full warm ones it leaves N + 2 root N + 2 some four deviations (`docs/acceptance.md`).
+/// Share of the told multiple that we use of a cold replica: a simulated fleet came to 93% of the rule's
+/// limit, at 1.0 to 96%. At nine tenths of full warm ones four deviations are left (`docs/acceptance.md`).
 const COLD_CAUTION: f64 = 0.85;
 
 impl Balancer {
