--- /dev/null
+++ b/benches/round.rs
@@ -0,0 +1,175 @@
+//! What a round of the decision module costs by the size of the fleet and of a query:
+//!
+//! ```sh
+//! cargo bench --bench round
+//! ```
+//!
+//! Prints, for each size, microseconds of a round with one outcome while 1 and while 16 queries are open, of all
+//! rounds of a query alone, of a changed entry of the list, and of a whole list.
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use marlgap::interface::*;
+use marlgap::Balancer;
+
+/// Replicas that hold a shard.
+const COPIES: u64 = 4;
+/// Seconds between rounds.
+const STEP: f64 = 0.0005;
+
+struct Bench {
+    balancer: Balancer,
+    now: f64,
+    next: u32,
+    replicas: u64,
+    cells: u64,
+    parts: u32,
+    attempts: BTreeMap<PartId, u8>,
+    out: VecDeque<(PartId, u8, ReplicaId)>,
+    ended: usize,
+}
+
+impl Bench {
+    fn new(replicas: u64, parts: u32) -> Bench {
+        let class = Class {
+            aim: 1.0,
+            deadline: 4.0,
+            worth: 1.0,
+            late_worth: 0.3,
+            effect: Effect::Safe,
+            need: 1.0,
+            floor: 1.0,
+            partial: 0.9,
+            second_step: 0,
+            copies: true,
+        };
+        let cells = (replicas / COPIES).max(1);
+        let settings = Settings {
+            classes: vec![class],
+            cells: cells as u32,
+            reports: Reports::Inline,
+            round: STEP,
+            cold: Some(ColdRule { from: 0.2, ramp: 60.0, multiple: 1.5, after: 1.0 }),
+            ..Settings::default()
+        };
+        let balancer = Balancer::new(settings, 7).expect("served");
+        let (attempts, out) = Default::default();
+        let mut bench =
+            Bench { balancer, now: 100.0, next: 0, replicas, cells, parts, attempts, out, ended: 0 };
+        let entries = bench.list();
+        bench.round(&[Event::Members { news: News::Full, entries }]);
+        // Every replica has reported, and the limit on open parts has grown.
+        for _ in 0..2 * replicas / u64::from(parts) + 20 {
+            bench.whole();
+        }
+        bench
+    }
+
+    fn listed(&self, n: u64) -> Listed {
+        let (zone, cell) = (ZoneId((n % 3) as u8), CellId((n % self.cells) as u16));
+        Listed { replica: ReplicaId(n), zone, cell, phase: Phase::Ready, weight: 1.0, started: None }
+    }
+
+    fn list(&self) -> Vec<Listed> {
+        (0..self.replicas).map(|n| self.listed(n)).collect()
+    }
+
+    fn round(&mut self, events: &[Event]) -> f64 {
+        self.now += STEP;
+        let begun = Instant::now();
+        let actions = self.balancer.round(self.now, events);
+        let took = begun.elapsed().as_secs_f64() * 1e6;
+        for action in actions {
+            match action {
+                Action::Send { part, replica, .. } => {
+                    let attempt = self.attempts.entry(part).or_insert(0);
+                    self.out.push_back((part, *attempt, replica));
+                    *attempt += 1;
+                }
+                Action::Answer { .. } | Action::Refuse { .. } | Action::Fail { .. } => self.ended += 1,
+                _ => {}
+            }
+        }
+        took
+    }
+
+    fn ask(&mut self) -> f64 {
+        self.next += 1;
+        let (query, number) = (QueryId(self.next), QueryNumber(self.next));
+        let mut events = vec![Event::Query {
+            query,
+            number,
+            class: ClassId(0),
+            tenant: TenantId::NONE,
+            patience: 4.0,
+            parts: self.parts,
+            repeat: false,
+        }];
+        for n in 0..self.parts {
+            self.next += 1;
+            let (part, weight) = (PartId(self.next), 1.0 / f64::from(self.parts));
+            let shard = ShardId((self.next.wrapping_mul(7919).wrapping_add(n)) % self.cells as u32);
+            events.push(Event::Part { part, number, shard, weight, spent: 0, served: false });
+        }
+        self.round(&events)
+    }
+
+    fn outcome(&mut self) -> Option<f64> {
+        let (part, attempt, replica) = self.out.pop_front()?;
+        let report = Some(Report { queue: Some(1.0), in_flight: Some(1.0), busy: Some(0.5), service: None });
+        let (over, outcome, took) = (true, Outcome::Served, 0.01);
+        Some(self.round(&[Event::Outcome { part, attempt, replica, over, outcome, took, report }]))
+    }
+
+    /// A query alone: all its rounds, one for each outcome.
+    fn whole(&mut self) -> f64 {
+        let mut took = self.ask();
+        while let Some(more) = self.outcome() {
+            took += more;
+        }
+        self.attempts.clear();
+        took
+    }
+}
+
+fn mean(times: impl Iterator<Item = f64>) -> f64 {
+    let times: Vec<f64> = times.collect();
+    times.iter().sum::<f64>() / times.len() as f64
+}
+
+fn main() {
+    println!(
+        "microseconds (mean): a round with one outcome at 1 and at 16 open queries, a query alone, a changed"
+    );
+    println!("entry, a whole list");
+    println!(
+        "{:>8} {:>6} {:>10} {:>10} {:>10} {:>10} {:>10}",
+        "replicas", "parts", "1 open", "16 open", "query", "entry", "list"
+    );
+    for replicas in [200, 1000, 4000, 11_000] {
+        for parts in [35, 410] {
+            let mut bench = Bench::new(replicas, parts);
+            let query = mean((0..3).map(|_| bench.whole()));
+            bench.ask();
+            let one = mean((0..30).filter_map(|_| bench.outcome()));
+            for _ in 1..16 {
+                bench.ask();
+            }
+            let many = mean((0..200).filter_map(|_| bench.outcome()));
+            while bench.outcome().is_some() {}
+            let entry = mean((0..40).map(|n| {
+                let phase = if n % 2 == 0 { Phase::Draining } else { Phase::Ready };
+                let entries = vec![Listed { phase, ..bench.listed(n / 2) }];
+                bench.round(&[Event::Members { news: News::Delta, entries }])
+            }));
+            let list = mean((0..3).map(|_| {
+                let entries = bench.list();
+                bench.round(&[Event::Members { news: News::Full, entries }])
+            }));
+            println!(
+                "{replicas:>8} {parts:>6} {one:>10.1} {many:>10.1} {query:>10.0} {entry:>10.1} {list:>10.0}"
+            );
+            assert!(bench.ended > 16, "queries are answered");
+        }
+    }
+}
