Let a round cost what happened, not all replicas and all open parts

Each round went through every listed replica several times and through every open part, each served outcome through every open part once more.

Running sums and indexes of replicas (state/census.rs), attempts by time (state/flights.rs), and an agenda of the queries that something happened to, whose time has come, or that wait for what may change at any time (state/agenda.rs).

--- a/src/balance/admission.rs
+++ b/src/balance/admission.rs
@@ -22,7 +22,7 @@
         let Some(class) = self.s.classes.get(usize::from(id.0)).copied() else {
             return self.out.push(Action::Fail { query });
         };
-        self.recent.tenants.entry(tenant).or_default().add(self.now);
+        self.recent.ask(tenant, self.now);
         // A first try, where repeats are marked, has waited for nothing: a client may simply want it soon.
         let first_try = self.s.marks_retry && !repeat;
         let waited = self.waited(id, &class, patience) * f64::from(u8::from(!first_try));
@@ -30,10 +30,13 @@
         let q = Query::new(query, id, class, tenant, self.now + patience, aim);
         self.out.push(Action::Timer { after: (patience - self.margin).max(0.0) });
         // A number used again while its query is open: the old one still gets its answer.
-        if let Some(mut old) = self.queries.insert(number, q) {
+        if let Some(mut old) = self.queries.remove(&number) {
             self.give_up(&old);
             self.drop_parts(&mut old);
+            self.agenda.leave(number, old.id);
         }
+        self.agenda.enter(number, &q, self.margin);
+        self.queries.insert(number, q);
     }
 
     /// How long the client has waited before this try: one that may last clearly less than usual is bounded
@@ -45,26 +48,18 @@
         (class.deadline - patience).max(0.0) * f64::from(u8::from(cut))
     }
 
-    pub(super) fn take_part(&mut self, event: &Event) {
-        let &Event::Part { part, number, shard, weight, spent, served } = event else { return };
-        self.recent.taken.add(self.now);
-        self.recent.arrived.add(self.now);
-        let Some(query) = self.queries.get_mut(&number) else { return };
-        query.parts.push(part);
-        query.served += u32::from(served);
-        self.parts.insert(part, Part::new((number, query.in_class), shard, weight, spent, served));
-    }
-
     /// Parts that are out, and all of an admitted query on probation: what it holds back comes in one go.
     /// Parts that wait for a retry hold no room.
-    pub(super) fn open(&self) -> f64 {
-        // What streams is past the wait that this limit is about.
-        let out = |id: &&PartId| self.parts.get(id).is_some_and(|p| !p.served && !p.over && p.out());
-        let room = |q: &Query| match self.on_probation(q) {
+    pub(super) fn open(&mut self) -> f64 {
+        if self.recent.suspect <= self.now {
+            return self.agenda.out() as f64;
+        }
+        self.agenda.through += self.queries.len();
+        let room = |(number, q): (&QueryNumber, &Query)| match self.on_probation(q) {
             true => q.parts.len() as f64 * q.class.need,
-            false => q.parts.iter().filter(out).count() as f64,
+            false => self.agenda.out_of(*number) as f64,
         };
-        self.queries.values().filter(|q| q.admitted).map(room).sum()
+        self.queries.iter().filter(|(_, q)| q.admitted).map(room).sum()
     }
 
     /// The number of parts that may be open grows while they come back well within their class's aim, and
@@ -89,7 +84,10 @@
             let all = f64::from(self.s.coordinators.max(1));
             self.pace.limit = (self.fleet.ready * LIMIT_START / all).max(LIMIT_LEAST);
         }
-        let waiting = self.queries.iter().filter(|(_, q)| !q.admitted).map(|(n, _)| *n).collect::<Vec<_>>();
+        let waiting = self.agenda.waiting();
+        if waiting.is_empty() {
+            return;
+        }
         let mut order: Vec<(f64, QueryNumber)> = waiting.iter().map(|n| (self.density(*n), *n)).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
         let mut open = self.open();
@@ -97,6 +95,7 @@
             if let Some(q) = self.queries.get_mut(&number).filter(|_| open < self.pace.limit) {
                 q.admitted = true;
                 open += q.parts.len() as f64;
+                self.agenda.admit(number);
             }
         }
     }
--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -33,7 +33,7 @@
     fn send(&mut self, part: PartId, replica: ReplicaId, why: Option<Why>) {
         let (reaped, between) = (self.reaped(), self.between());
         let (Some(p), Some(r)) = (self.parts.get_mut(&part), self.replicas.get_mut(&replica)) else { return };
-        let n = p.attempts.len() as u8;
+        let (class, n) = (p.class, p.attempts.len() as u8);
         let copy = why == Some(Why::Copy);
         p.attempts.push(Attempt { replica, sent: self.now, copy, cancelled: false, ended: None });
         let paused = r.out.is_empty() && r.used > 0.0 && self.now - r.used > PAUSE;
@@ -41,13 +41,13 @@
             self.out.push(Action::CloseIdle { replica });
         }
         let (sent, paused) = (self.now, paused && !reaped);
-        r.out.insert((part, n), Flight { sent, class: p.class, paused, ..Flight::default() });
         r.used = self.now;
         r.sent.add(self.now);
         r.earned -= 1.0;
         if let Some(until) = self.fleet.rooms.get_mut(&r.listed.zone).and_then(|room| room.until.as_mut()) {
             *until = self.now + between.max(EJECT);
         }
+        self.sent(replica, (part, n), Flight { sent, class, paused, ..Flight::default() });
         *self.fleet.calls.entry(replica).or_insert(0) += 1;
         self.recent.sends.add(self.now);
         if why.is_some_and(|why| why != Why::Failed) {
@@ -135,14 +135,14 @@
         let sent = self.recent.extras.count(self.now - budget.window - edge) + 1.0;
         let taken = self.recent.taken.count(self.now - budget.window + edge);
         // No query waits for room: spare capacity may go to copies and hedges.
-        let calm = self.queries.values().all(|q| q.admitted);
+        let calm = self.agenda.calm();
         let purse = PURSES[why as usize];
         (why >= Why::Retry || calm) && sent <= (budget.free + budget.share * taken) * purse
     }
 
     pub(super) fn outcome(&mut self, event: &Event) {
         let &Event::Outcome { part, attempt, replica, over, outcome, took, report } = event else { return };
-        if let Some(flight) = self.replicas.get_mut(&replica).and_then(|r| r.out.remove(&(part, attempt))) {
+        if let Some(flight) = self.landed(replica, (part, attempt)) {
             self.hear(replica, report);
             if outcome == Outcome::Served && took.is_finite() && !flight.streams {
                 self.measure(replica, took);
@@ -168,6 +168,7 @@
         let flight = self.replicas.get_mut(&replica).and_then(|r| r.out.get_mut(&(part, attempt)));
         if let Some(flight) = flight.filter(|f| !f.streams) {
             (flight.streams, flight.silent) = (true, false);
+            self.flights.remove(flight.sent, replica, (part, attempt));
             self.measure(replica, took);
         }
         let Some(p) = self.parts.get_mut(&part) else { return };
@@ -189,12 +190,13 @@
             if let Some(a) = p.attempts.get_mut(usize::from(n)).filter(|a| a.copy && !a.cancelled && twin) {
                 a.cancelled = true;
                 self.out.push(Action::Cancel { part, attempt: n });
+                self.note(part);
             }
         }
     }
 
     /// Call off what is out for a part, where that can be done; but for the attempt that it is committed to.
-    pub(super) fn call_off(&mut self, id: PartId, kept: Option<u8>) {
+    pub(crate) fn call_off(&mut self, id: PartId, kept: Option<u8>) {
         let Some(part) = self.parts.get_mut(&id).filter(|_| self.s.cancel || kept.is_some()) else { return };
         for (n, a) in part.attempts.iter_mut().enumerate() {
             if a.out() && kept != Some(n as u8) {
--- a/src/balance/blame.rs
+++ b/src/balance/blame.rs
@@ -29,10 +29,10 @@
     pub(super) fn judge(&mut self, id: ReplicaId, outcome: Outcome, took: f64, flight: Flight) {
         let (now, Some(r)) = (self.now, self.replicas.get_mut(&id)) else { return };
         r.used = now;
-        let room = self.fleet.rooms.entry(r.listed.zone).or_default();
+        let zone = r.listed.zone;
         match outcome {
-            Outcome::Served | Outcome::TurnedAway | Outcome::Error => *room = Room::heard(now),
-            Outcome::NoConnection if flight.sent > room.heard => drop(room.silent.insert(id)),
+            Outcome::Served | Outcome::TurnedAway | Outcome::Error => self.fleet.hear(zone, now),
+            Outcome::NoConnection => self.fleet.hush(zone, id, flight.sent, ROOM_LEAST),
             _ => {}
         }
         match outcome {
@@ -96,6 +96,7 @@
         let on_trial = b.trials > 0 && flight.sent >= b.until;
         if b.errors > ERROR_LIMIT || on_trial {
             b.eject(now, EJECT.max(seen));
+            self.suspects(id);
         }
     }
 
@@ -119,27 +120,25 @@
     /// Guards against replicas that take work and answer nothing, whatever keeps them silent.
     pub(super) fn watch_silence(&mut self) {
         let limit = self.now - (SILENT_TAIL * self.pace.tail).max(8.0 * self.s.round);
-        let (mut found, late, between) = (Vec::new(), self.now - self.pace.tail, self.between());
-        for (id, r) in &mut self.replicas {
-            let room = self.fleet.rooms.entry(r.listed.zone).or_default();
-            if r.out.values().any(|f| !f.streams && f.sent > room.heard && f.sent < late) {
-                room.silent.insert(*id);
-            }
-            for f in r.out.values_mut().filter(|f| !f.silent && !f.streams && f.sent < limit) {
-                found.push((*id, *f));
-                f.silent = true;
+        let (late, between) = (self.now - self.pace.tail, self.between());
+        for (id, sent) in self.flights.unheard(late) {
+            self.fleet.hush(self.replicas[&id].listed.zone, id, sent, ROOM_LEAST);
+        }
+        if self.fleet.lose(self.now + between.max(EJECT), ROOM_LEAST) {
+            self.agenda.touch_all();
+        }
+        for (id, attempt) in self.flights.silent(limit) {
+            let flight = self.replicas.get_mut(&id).and_then(|r| r.out.get_mut(&attempt));
+            if let Some(flight) = flight.map(|f| std::mem::replace(f, Flight { silent: true, ..*f })) {
+                self.suspects(id);
+                self.unanswered(id, flight, 1.0);
             }
         }
-        let rooms = &mut self.fleet.rooms;
-        let heard = rooms.values().map(|room| room.heard).fold(0.0, f64::max);
-        let lost = |r: &&mut Room| r.until.is_none() && r.silent.len() >= ROOM_LEAST && r.heard < heard;
-        rooms.values_mut().filter(lost).for_each(|room| room.until = Some(self.now + between.max(EJECT)));
-        found.into_iter().for_each(|(id, flight)| self.unanswered(id, flight, 1.0));
     }
 
     /// Whether a whole room is out of the draw. Guards parts where each replica is met seldom: learnt one by
     /// one, a lost room is known when it is back.
-    pub(super) fn room_lost(&self, r: &Replica) -> bool {
+    pub(crate) fn room_lost(&self, r: &Replica) -> bool {
         let room = self.fleet.rooms.get(&r.listed.zone);
         room.and_then(|room| room.until).is_some_and(|until| until > self.now)
     }
--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -27,6 +27,7 @@
     pub(super) fn hear(&mut self, id: ReplicaId, report: Option<Report>) {
         if let (Some(r), Some(report)) = (self.replicas.get_mut(&id), report) {
             (r.report, r.heard) = (report, self.now);
+            self.census.hear(id, r.load(), self.now);
         }
     }
 
@@ -46,6 +47,7 @@
     /// waits. Guards a part's few attempts: they would be spent on a lost room, which does not rest.
     fn candidates(&mut self, class: ClassId, shard: ShardId, avoid: &[ReplicaId]) -> Vec<ReplicaId> {
         let (mut all, now) = (self.holders(shard), self.now);
+        self.census.through += all.len();
         let sound = |r: &Replica| r.until(class) <= now && r.whole.trials == 0 && !self.room_lost(r);
         let resting = all.iter().map(|id| &self.replicas[id]).any(|r| r.rests(now) && sound(r));
         all.retain(|id| !self.replicas[id].rests(now) && self.cold_room(*id));
@@ -92,7 +94,9 @@
         let served = std::mem::take(&mut self.fleet.borne) / warm;
         let span = RECENT.min(now - self.born).max(rule.after);
         self.fleet.window = self.recent.borne.count(now - RECENT) / warm * rule.after / span;
-        for r in self.replicas.values_mut().filter(|_| served > 0.0 && now >= self.born + rule.after) {
+        let earns = served > 0.0 && now >= self.born + rule.after;
+        for id in self.census.cold(earns) {
+            let Some(r) = self.replicas.get_mut(&id) else { continue };
             let share = COLD_CAUTION * r.stands(now, rule);
             r.earned = (r.earned + share * served).min((share * self.fleet.window).max(1.0 - r.phase));
         }
--- a/src/balance/members.rs
+++ b/src/balance/members.rs
@@ -16,17 +16,17 @@
             }
             News::Full | News::Cached => {
                 let listed: BTreeSet<_> = entries.iter().map(|e| e.replica).collect();
-                let gone = self.replicas.iter_mut().filter(|(id, _)| !listed.contains(id));
-                gone.for_each(|(_, r)| r.leave(Phase::Gone, self.now));
+                for (id, r) in self.replicas.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                    r.leave(Phase::Gone, self.now);
+                    self.census.list(*id, r, self.s.cold.is_some());
+                }
             }
             News::Delta => {}
         }
         self.renew = RENEW;
         entries.iter().for_each(|entry| self.list(entry));
-        self.fleet.ready = self.replicas.values().filter(|r| r.ready()).count().max(1) as f64;
-        let (now, replicas) = (self.now, &mut self.replicas);
-        replicas.retain(|_, r| r.listed.phase != Phase::Gone || now - r.gone < FORGET || !r.out.is_empty());
-        self.fleet.cells.values_mut().for_each(|ids| ids.retain(|id| replicas.contains_key(id)));
+        self.fleet.ready = self.census.ready().max(1) as f64;
+        self.census.forget_gone(&mut self.replicas, |gone| self.now - gone >= FORGET);
     }
 
     /// Replicas that are remembered.
@@ -40,16 +40,17 @@
             return;
         }
         let replica = self.replicas.entry(entry.replica).or_default();
+        let zone = replica.listed.zone;
         if entry.started > replica.listed.started {
             let (out, sent) = (std::mem::take(&mut replica.out), std::mem::take(&mut replica.sent));
             *replica = Replica { out, sent, ..Replica::default() };
             replica.phase = (self.rng.next_u32() as f64) / f64::from(u32::MAX);
         }
-        let (old, new) = (u32::from(replica.listed.cell.0), u32::from(entry.cell.0));
+        self.census.place(entry.replica, replica.listed.cell, entry.cell);
         replica.leave(entry.phase, self.now);
         replica.listed = *entry;
-        self.fleet.cells.entry(old).or_default().remove(&entry.replica);
-        self.fleet.cells.entry(new).or_default().insert(entry.replica);
+        self.census.list(entry.replica, replica, self.s.cold.is_some());
+        self.moved(entry.replica, zone);
     }
 
     pub(super) fn subscribe(&mut self) {
@@ -64,7 +65,7 @@
     pub(super) fn holders(&self, shard: ShardId) -> Vec<ReplicaId> {
         let cells = self.s.cells;
         let row = (0..self.s.reach.min(cells)).map(|j| (shard.0 % cells + j) % cells);
-        let held = row.filter_map(|cell| self.fleet.cells.get(&cell)).flatten().copied();
+        let held = row.flat_map(|cell| self.census.cell(cell));
         held.filter(|id| self.replicas[id].ready()).collect()
     }
 }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,5 +1,5 @@
 //! All decisions of a co-ordinator. Types, events and actions: `src/interface.rs`; what is kept between
-//! rounds: `src/state.rs`.
+//! rounds: `src/state/`.
 //! The ordinary path is NetClone's (`docs/design.md`): draw two replicas of a shard; both idle: to both, the
 //! first answer wins; else to the shorter queue. The rest acts through who may be drawn and how ties fall.
 mod admission;
@@ -25,11 +25,11 @@
 /// Without a told budget, attempts beyond the first stay within so many, plus a share of recent arrivals.
 const OWN_BUDGET: Budget = Budget { free: 5.0, share: 0.2, window: RECENT };
 /// Seconds after which news of a replica is stale: it counts at the average queue and not as idle.
-const STALE: f64 = 2.0;
+pub(crate) const STALE: f64 = 2.0;
 /// Seconds between our sends to one replica from which on it is met too seldom to be known one by one.
 const SELDOM: f64 = 3.0;
 /// A part is hedged after this many times the 90th percentile of recent response times.
-const HEDGE_TAIL: f64 = 1.2;
+pub(crate) const HEDGE_TAIL: f64 = 1.2;
 /// Seconds between looks at open parts, and the least time before a client's end to answer it.
 const SWEEP: f64 = 0.02;
 const END_MARGIN: f64 = 0.01;
@@ -41,21 +41,24 @@
 
 /// The decisions of one co-ordinator.
 pub struct Balancer {
-    s: Settings,
-    rng: Pcg64Mcg,
-    now: f64,
-    born: f64,
-    margin: f64,
-    replicas: BTreeMap<ReplicaId, Replica>,
-    fleet: Fleet,
-    queries: BTreeMap<QueryNumber, Query>,
-    parts: BTreeMap<PartId, Part>,
-    recent: Recent,
-    pace: Pace,
-    swept: f64,
-    renew: f64,
-    renew_at: Option<f64>,
-    out: Vec<Action>,
+    pub(crate) s: Settings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) now: f64,
+    pub(crate) born: f64,
+    pub(crate) margin: f64,
+    pub(crate) replicas: BTreeMap<ReplicaId, Replica>,
+    pub(crate) fleet: Fleet,
+    pub(crate) census: Census,
+    pub(crate) flights: Flights,
+    pub(crate) agenda: Agenda,
+    pub(crate) queries: BTreeMap<QueryNumber, Query>,
+    pub(crate) parts: BTreeMap<PartId, Part>,
+    pub(crate) recent: Recent,
+    pub(crate) pace: Pace,
+    pub(crate) swept: f64,
+    pub(crate) renew: f64,
+    pub(crate) renew_at: Option<f64>,
+    pub(crate) out: Vec<Action>,
 }
 
 impl Balancer {
@@ -70,6 +73,9 @@
             margin: END_MARGIN + 2.0 * settings.round,
             replicas: BTreeMap::new(),
             fleet: Fleet::default(),
+            census: Census::default(),
+            flights: Flights::default(),
+            agenda: Agenda::default(),
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
             recent: Recent::default(),
@@ -99,23 +105,20 @@
         events.iter().for_each(|event| self.event(event));
         let window = self.s.budget.unwrap_or(OWN_BUDGET).window.max(RECENT) + 2.0 * self.s.round;
         self.recent.trim(self.now - window);
-        let known: Vec<f64> = self.replicas.values().filter_map(|r| self.reported(r)).collect();
-        self.fleet.average = known.iter().sum::<f64>() / known.len().max(1) as f64;
-        let warm = |r: &&Replica| r.ready() && r.cold_since(now, self.s.cold).is_none();
-        self.fleet.warm = self.replicas.values().filter(warm).count().max(1) as f64;
+        let (now, ramp) = (self.now, self.s.cold.map_or(0.0, |rule| rule.ramp));
+        self.census.expire(|heard| now - heard >= STALE, |start| now - start >= ramp);
+        self.fleet.average = self.census.average();
+        self.fleet.warm = self.census.warm().max(1) as f64;
         self.earn();
         self.fleet.thin = self.between() > SELDOM;
         self.fleet.seldom = now > self.born + RECENT && self.fleet.thin;
         let late = now - self.pace.typical;
-        let owes = |r: &&Replica| r.out.values().any(|f| f.sent < late && !f.streams);
-        let owing = self.replicas.values().filter(owes).count() as f64;
-        self.fleet.stalled = self.pace.served < late && owing > 2.0 && 2.0 * owing > self.fleet.ready;
+        let owing = if self.pace.served < late { self.flights.owing(late) as f64 } else { 0.0 };
+        self.fleet.stalled = owing > 2.0 && 2.0 * owing > self.fleet.ready;
         self.subscribe();
         self.watch_silence();
         self.admit();
-        for number in self.queries.keys().copied().collect::<Vec<_>>() {
-            self.work(number);
-        }
+        self.work_all();
         self.probe();
         if !self.queries.is_empty() && self.now + END_MARGIN >= self.swept + SWEEP {
             self.swept = self.now;
@@ -129,8 +132,8 @@
             Event::Members { news, ref entries } => self.members(news, entries),
             Event::Query { .. } => self.take_query(event),
             Event::Part { .. } => self.take_part(event),
-            Event::Outcome { .. } => self.outcome(event),
-            Event::Committed { .. } => self.committed(event),
+            Event::Outcome { part, .. } => (self.outcome(event), self.note(part)).0,
+            Event::Committed { part, .. } => (self.committed(event), self.note(part)).0,
             // A probe that failed may have waited behind parts: no proof of a bad replica.
             Event::Probed { replica, report, .. } => self.hear(replica, report),
             Event::Withdrawn { query } => self.withdrawn(query),
@@ -146,11 +149,11 @@
         if !wanted || self.recent.probes.count(now - RECENT) + 1.0 > allowed {
             return;
         }
-        let due = self.replicas.iter_mut().filter(|(_, r)| r.ready() && now - r.probed >= PROBE_EVERY);
-        if let Some((id, r)) = due.min_by(|a, b| a.1.probed.total_cmp(&b.1.probed)) {
-            r.probed = now;
+        if let Some(replica) = self.census.asked.pop(|probed| now - probed >= PROBE_EVERY) {
+            self.census.asked.set(replica, now);
+            self.replicas.entry(replica).and_modify(|r| r.probed = now);
             self.recent.probes.add(now);
-            self.out.push(Action::Probe { replica: *id });
+            self.out.push(Action::Probe { replica });
         }
     }
 }
--- a/src/balance/settle.rs
+++ b/src/balance/settle.rs
@@ -5,29 +5,9 @@
 const ROUNDING: f64 = 5e-5;
 
 impl Balancer {
-    pub(super) fn work(&mut self, number: QueryNumber) {
-        let Some(mut query) = self.queries.remove(&number) else { return };
-        let verdict = self.settle(&mut query);
-        if verdict != Verdict::Wait {
-            self.drop_parts(&mut query);
-        } else if query.admitted {
-            self.advance(&query);
-        }
-        if verdict != Verdict::Over {
-            self.queries.insert(number, query);
-        }
-    }
-
-    pub(super) fn drop_parts(&mut self, query: &mut Query) {
-        for part in std::mem::take(&mut query.parts) {
-            self.call_off(part, None);
-            self.parts.remove(&part);
-        }
-    }
-
     /// Answer the query, or its step, at once when it is whole; in part when waiting would miss the aim, or
     /// nothing more can come. End it when its time is up, or it cannot succeed, or is worth nothing.
-    fn settle(&mut self, query: &mut Query) -> Verdict {
+    pub(crate) fn settle(&mut self, query: &mut Query) -> Verdict {
         let class = query.class;
         let (first, over) = (query.first.is_none(), self.now >= query.ends - self.margin);
         if !first && query.parts.is_empty() && !over {
@@ -81,9 +61,9 @@
         self.out.push(if safe { refuse } else { Action::Fail { query } });
     }
 
-    /// Send what a query still needs: parts not sent yet, as far as needed, then another attempt for late
-    /// ones.
-    fn advance(&mut self, query: &Query) {
+    /// Send what a query still needs: parts not sent yet, as far as needed, then another attempt for late ones.
+    /// Returns whether it waits for what may change at any time: a replica to be drawn, or a late part.
+    pub(crate) fn advance(&mut self, query: &Query) -> bool {
         let (mut order, mut covered, mut late) = (Vec::new(), 0.0, Vec::new());
         for id in &query.parts {
             let Some(part) = self.parts.get(id) else { continue };
@@ -93,6 +73,7 @@
                 late.push((*id, why));
             } else {
                 covered += part.weight;
+                self.agenda.not_late(*id, part);
             }
         }
         order.sort();
@@ -100,7 +81,8 @@
         // Guards against waiting for a part whose attempts are spent: a query on probation would begin no
         // other one, and keep its room to its end.
         let lives = |p: &Part| p.out() || self.may_repeat(&query.class, p);
-        let mut tried = covered > 0.0 || late.iter().filter_map(|(id, _)| self.parts.get(id)).any(lives);
+        let mut waits = late.iter().filter_map(|(id, _)| self.parts.get(id)).any(lives);
+        let mut tried = covered > 0.0 || waits;
         let need = if query.first.is_none() { query.class.need } else { 1.0 };
         for (_, id) in order {
             if (covered >= need - ROUNDING && need < 1.0) || (probation && tried) {
@@ -110,6 +92,8 @@
             if let Some(part) = self.parts.get(&id).filter(|p| !p.attempts.is_empty()) {
                 covered += part.weight;
                 tried = true;
+            } else {
+                waits = true;
             }
         }
         for (id, why) in late {
@@ -117,12 +101,6 @@
                 self.again(&query.class, id, why);
             }
         }
-    }
-
-    pub(super) fn withdrawn(&mut self, id: QueryId) {
-        let number = self.queries.iter().find(|(_, q)| q.id == id).map(|(n, _)| *n);
-        if let Some(mut query) = number.and_then(|n| self.queries.remove(&n)) {
-            self.drop_parts(&mut query);
-        }
+        waits
     }
 }
--- /dev/null
+++ b/src/state/look.rs
@@ -0,0 +1,123 @@
+//! What keeps the sums and indexes of a [`Balancer`] up to date as things happen, and the order in which a round
+//! comes to the open queries. Decides nothing: how a query is settled and what it sends is `src/balance/`'s.
+use super::{Flight, Part, Query, Verdict};
+use crate::balance::HEDGE_TAIL;
+use crate::interface::*;
+use crate::Balancer;
+
+impl Balancer {
+    pub(crate) fn take_part(&mut self, event: &Event) {
+        let &Event::Part { part, number, shard, weight, spent, served } = event else { return };
+        self.recent.taken.add(self.now);
+        self.recent.arrived.add(self.now);
+        let Some(query) = self.queries.get_mut(&number) else { return };
+        query.parts.push(part);
+        query.served += u32::from(served);
+        let new = Part::new((number, query.in_class), shard, weight, spent, served);
+        if let Some(old) = self.parts.insert(part, new) {
+            self.agenda.drop_part(part, old);
+        }
+        self.agenda.touch(number);
+    }
+
+    /// Something happened to a part.
+    pub(crate) fn note(&mut self, id: PartId) {
+        if let Some(part) = self.parts.get_mut(&id) {
+            self.agenda.part(id, part);
+            self.agenda.touch(part.number);
+        }
+    }
+
+    /// An attempt was sent. At a suspect replica it is late as soon as time goes on; one that tries a lost room
+    /// makes that suspect again.
+    pub(crate) fn sent(&mut self, replica: ReplicaId, attempt: (PartId, u8), flight: Flight) {
+        let Some(r) = self.replicas.get_mut(&replica) else { return };
+        self.flights.add(flight.sent, replica, attempt, r.out.insert(attempt, flight));
+        let r = &self.replicas[&replica];
+        let suspect = r.until(flight.class) > self.now || r.silent() || self.room_lost(r);
+        if self.fleet.rooms.get(&r.listed.zone).is_some_and(|room| room.until.is_some()) {
+            self.agenda.touch_all();
+        }
+        let Some(part) = self.parts.get_mut(&attempt.0) else { return };
+        self.agenda.part(attempt.0, part);
+        if suspect {
+            self.agenda.suspect(part.number, self.now);
+        }
+    }
+
+    /// An attempt is over; what its replica owed.
+    pub(crate) fn landed(&mut self, replica: ReplicaId, attempt: (PartId, u8)) -> Option<Flight> {
+        let flight = self.replicas.get_mut(&replica).and_then(|r| r.out.remove(&attempt))?;
+        self.flights.remove(flight.sent, replica, attempt);
+        Some(flight)
+    }
+
+    /// A replica became suspect: look at the queries whose parts it holds.
+    pub(crate) fn suspects(&mut self, id: ReplicaId) {
+        for (part, _) in self.replicas.get(&id).into_iter().flat_map(|r| r.out.keys()) {
+            self.parts.get(part).into_iter().for_each(|p| self.agenda.touch(p.number));
+            self.agenda.through += 1;
+        }
+    }
+
+    /// A replica was listed, before in that zone: what it owes may be held against another.
+    pub(crate) fn moved(&mut self, id: ReplicaId, before: ZoneId) {
+        if self.replicas.get(&id).is_some_and(|r| r.listed.zone != before && !r.out.is_empty()) {
+            self.flights.moved(id);
+            self.agenda.touch_all();
+        }
+    }
+
+    pub(crate) fn withdrawn(&mut self, id: QueryId) {
+        let Some(number) = self.agenda.number(id) else { return };
+        if let Some(mut query) = self.queries.remove(&number) {
+            self.drop_parts(&mut query);
+            self.agenda.leave(number, id);
+        }
+    }
+
+    pub(crate) fn work(&mut self, number: QueryNumber) {
+        let Some(mut query) = self.queries.remove(&number) else { return };
+        self.agenda.through += 1 + query.parts.len();
+        let verdict = self.settle(&mut query);
+        let mut waits = verdict == Verdict::Wait && (!query.admitted || query.parts.is_empty());
+        if verdict != Verdict::Wait {
+            self.drop_parts(&mut query);
+        } else if query.admitted {
+            waits |= self.advance(&query);
+        }
+        if waits {
+            self.agenda.touch(number);
+        }
+        if query.first.is_none()
+            && query.class.second_step > 0
+            && self.now < query.aim - HEDGE_TAIL * self.pace.tail
+        {
+            self.agenda.step(number, query.aim);
+        }
+        match verdict {
+            Verdict::Over => self.agenda.leave(number, query.id),
+            _ => drop(self.queries.insert(number, query)),
+        }
+    }
+
+    /// Work at the queries that something happened to, or whose time has come, in order.
+    pub(crate) fn work_all(&mut self) {
+        let (now, tail, stalled) = (self.now, self.pace.tail, self.fleet.stalled);
+        let hedge = |sent: f64| !stalled && now - sent > HEDGE_TAIL * tail;
+        let step = |aim: f64| now >= aim - HEDGE_TAIL * tail;
+        self.agenda.wake(now, self.recent.suspect > now, hedge, step, &self.parts);
+        let mut last = None;
+        while let Some(number) = self.agenda.next(last) {
+            last = Some(number);
+            self.work(number);
+        }
+    }
+
+    pub(crate) fn drop_parts(&mut self, query: &mut Query) {
+        for part in std::mem::take(&mut query.parts) {
+            self.call_off(part, None);
+            self.parts.remove(&part).into_iter().for_each(|p| self.agenda.drop_part(part, p));
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state/mod.rs
@@ -1,67 +1,24 @@
 //! What a co-ordinator keeps between rounds, and the check of its settings. Nothing here decides or holds a
 //! tuned value; decisions are in `src/balance/`.
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
+//!
+//! Sums and indexes over what is kept, which decide nothing: `census.rs` of the replicas, `flights.rs` of what
+//! they owe, `agenda.rs` of open queries, `tally.rs` of recent events, `look.rs` keeps them up to date; `due.rs` orders by time.
+mod agenda;
+mod audit;
+mod census;
+mod due;
+mod flights;
+mod look;
+mod tally;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+pub use self::agenda::Agenda;
+pub use self::census::Census;
+pub use self::flights::Flights;
+pub use self::tally::{Recent, Tally};
 use crate::interface::*;
 
-/// Times of recent events of one sort.
-#[derive(Default)]
-pub struct Tally(VecDeque<f64>);
-
-impl Tally {
-    pub fn add(&mut self, now: f64) {
-        self.0.push_back(now);
-    }
-    /// How many there are, as last trimmed.
-    pub fn len(&self) -> f64 {
-        self.0.len() as f64
-    }
-    pub fn count(&mut self, since: f64) -> f64 {
-        while self.0.front().is_some_and(|t| *t < since) {
-            self.0.pop_front();
-        }
-        self.0.len() as f64
-    }
-}
-
-/// What came in and went out lately; `taken` counts queries and parts, `arrived` parts alone.
-#[derive(Default)]
-pub struct Recent {
-    pub taken: Tally,
-    pub arrived: Tally,
-    pub copies: Tally,
-    pub extras: Tally,
-    pub sends: Tally,
-    pub probes: Tally,
-    /// Parts that warm replicas served.
-    pub borne: Tally,
-    /// Until when queries are suspect of bringing down replicas.
-    pub suspect: f64,
-    /// Share of sends that went unanswered: on connections in use, and after a pause.
-    pub unanswered: [f64; 2],
-    /// Queries by tenant, and the usual patience of each class.
-    pub tenants: BTreeMap<TenantId, Tally>,
-    pub usual: BTreeMap<ClassId, f64>,
-}
-
-impl Recent {
-    /// Drop what is older than anybody asks for.
-    pub fn trim(&mut self, since: f64) {
-        for tally in [
-            &mut self.taken,
-            &mut self.arrived,
-            &mut self.copies,
-            &mut self.extras,
-            &mut self.sends,
-            &mut self.borne,
-        ] {
-            tally.count(since);
-        }
-        // One that asks no more is forgotten.
-        self.tenants.retain(|_, tally| tally.count(since) > 0.0);
-    }
-}
-
 /// Response times of parts, typical, at the 90th percentile and just now, and how many parts may be open.
 #[derive(Default)]
 pub struct Pace {
@@ -119,6 +76,8 @@
     pub weight: f64,
     pub attempts: Vec<Attempt>,
     pub served: bool,
+    /// Counted as one that is out, by the agenda.
+    pub counted: bool,
     /// Its end was told though we did not end it, or its value is on its way: nothing more may be sent for it.
     pub over: bool,
 }
@@ -182,8 +141,10 @@
     /// The same, from our start on, when we have sent little yet.
     pub thin: bool,
     pub rooms: BTreeMap<ZoneId, Room>,
-    /// Replicas by cell, so that a draw does not look at the whole fleet.
-    pub cells: BTreeMap<u32, BTreeSet<ReplicaId>>,
+    /// When a replica of any room last answered anything.
+    pub heard: f64,
+    /// Rooms that may be lost: enough of their replicas are silent.
+    pub hushed: BTreeSet<ZoneId>,
     /// Parts sent to each replica in this round: they share calls.
     pub calls: BTreeMap<ReplicaId, u32>,
 }
@@ -199,6 +160,38 @@
     pub until: Option<f64>,
 }
 
+impl Fleet {
+    /// A replica of a room answered just now.
+    pub fn hear(&mut self, zone: ZoneId, now: f64) {
+        self.rooms.insert(zone, Room::heard(now));
+        self.heard = self.heard.max(now);
+    }
+
+    /// A replica is silent, or could not be reached, about what it was sent at a time: that is held against its
+    /// room, unless that was heard since. So many of them may be a room that is lost.
+    pub fn hush(&mut self, zone: ZoneId, id: ReplicaId, sent: f64, least: usize) {
+        let room = self.rooms.entry(zone).or_default();
+        if sent > room.heard && room.silent.insert(id) && room.silent.len() >= least {
+            self.hushed.insert(zone);
+        }
+    }
+
+    /// Rooms with so many silent replicas, not heard since another room was, are lost until then. Whether any is.
+    pub fn lose(&mut self, until: f64, least: usize) -> bool {
+        let (heard, rooms, mut lost) = (self.heard, &mut self.rooms, false);
+        self.hushed.retain(|zone| {
+            let Some(room) = rooms.get_mut(zone) else { return false };
+            let hushed = room.until.is_none() && room.silent.len() >= least;
+            if hushed && room.heard < heard {
+                room.until = Some(until);
+                lost = true;
+            }
+            hushed && room.until.is_none()
+        });
+        lost
+    }
+}
+
 impl Room {
     /// One of its replicas answered just now.
     pub fn heard(now: f64) -> Room {
@@ -250,7 +243,7 @@
     pub fn new(query: (QueryNumber, ClassId), shard: ShardId, weight: f64, spent: u8, served: bool) -> Part {
         let (number, class) = query;
         let attempts = (0..spent).map(|_| Attempt::spent()).collect();
-        Part { number, class, shard, weight, attempts, served, over: served }
+        Part { number, class, shard, weight, attempts, served, counted: false, over: served }
     }
 
     /// Whether an attempt is out that may still bring its answer.
--- /dev/null
+++ b/tests/round_cost/main.rs
@@ -0,0 +1,134 @@
+//! What a round goes through, and whether the running sums and indexes by which it does without going through
+//! everything are right.
+use std::hash::Hasher;
+
+use marlgap::interface::*;
+use marlgap::Balancer;
+
+#[path = "../common/mod.rs"]
+mod common;
+#[path = "../recorded/plans.rs"]
+mod plans;
+#[path = "../recorded/world.rs"]
+mod world;
+use common::class;
+use world::World;
+
+/// Over random settings and events: each sum and index is what a count of everything gives, after every few
+/// rounds; and a module that looks at every open query in each round decides the same.
+#[test]
+fn the_sums_are_what_a_count_of_everything_gives() {
+    for seed in 0..48 {
+        let plan = plans::drawn(seed);
+        let mut world = World::new(plan.clone(), seed + 1000);
+        let mut whole = World::new(plan, seed + 1000);
+        for round in 0..1200 {
+            world.round();
+            whole.balancer.look_at_all();
+            whole.round();
+            if round % 3 == 0 {
+                assert_eq!(world.balancer.audit(), Ok(()), "plan {seed}, round {round}");
+            }
+            let same = world.hash.finish() == whole.hash.finish();
+            assert!(same, "plan {seed}, round {round}: a look at all queries decides otherwise");
+        }
+    }
+}
+
+const PARTS: u32 = 410;
+
+/// A module at work on queries of 410 parts each, all out, with its replicas in fours to a cell.
+struct Busy {
+    balancer: Balancer,
+    now: f64,
+    next: u32,
+    cells: u32,
+    out: Vec<(PartId, ReplicaId)>,
+}
+
+impl Busy {
+    fn new(replicas: u32, queries: u32) -> Busy {
+        let class = Class { aim: 50.0, deadline: 100.0, copies: false, ..class() };
+        let settings = Settings {
+            classes: vec![class],
+            cells: replicas / 4,
+            reports: Reports::Inline,
+            round: 0.001,
+            cold: Some(plans::COLD),
+            ..Settings::default()
+        };
+        let balancer = Balancer::new(settings, 5).expect("served");
+        let mut busy = Busy { balancer, now: 100.0, next: 0, cells: replicas / 4, out: Vec::new() };
+        let entries = (0..replicas).map(|n| busy.listed(n, Phase::Ready)).collect();
+        busy.round(vec![Event::Members { news: News::Full, entries }]);
+        (0..queries).for_each(|_| busy.ask());
+        assert_eq!(busy.out.len(), (queries * PARTS) as usize, "all parts are out");
+        busy
+    }
+
+    fn listed(&self, n: u32, phase: Phase) -> Listed {
+        let (replica, zone) = (ReplicaId(u64::from(n)), ZoneId((n % 3) as u8));
+        Listed { replica, zone, cell: CellId((n % self.cells) as u16), phase, weight: 1.0, started: None }
+    }
+
+    /// How many entries a round with these events goes through.
+    fn round(&mut self, events: Vec<Event>) -> usize {
+        self.now += 0.001;
+        let before = self.balancer.gone_through();
+        for action in self.balancer.round(self.now, &events) {
+            if let Action::Send { part, replica, .. } = action {
+                self.out.push((part, replica));
+            }
+        }
+        let through = self.balancer.gone_through() - before;
+        assert_eq!(self.balancer.audit(), Ok(()));
+        through
+    }
+
+    fn ask(&mut self) {
+        self.next += 1;
+        let (query, number, class) = (QueryId(self.next), QueryNumber(self.next), ClassId(0));
+        let (tenant, patience, parts, repeat) = (TenantId::NONE, 100.0, PARTS, false);
+        let mut events = vec![Event::Query { query, number, class, tenant, patience, parts, repeat }];
+        for n in 0..PARTS {
+            self.next += 1;
+            let (part, shard) = (PartId(self.next), ShardId(n * 7 % self.cells));
+            let (weight, spent, served) = (1.0 / f64::from(PARTS), 0, false);
+            events.push(Event::Part { part, number, shard, weight, spent, served });
+        }
+        self.round(events);
+    }
+
+    /// A round in which the part that was sent last is served.
+    fn outcome(&mut self) -> usize {
+        let (part, replica) = self.out.pop().expect("a part is out");
+        let report = Some(Report { queue: Some(2.0), in_flight: Some(2.0), busy: Some(0.5), service: None });
+        let (attempt, over, outcome, took) = (0, true, Outcome::Served, 0.01);
+        self.round(vec![Event::Outcome { part, attempt, replica, over, outcome, took, report }])
+    }
+
+    /// A round with one changed entry of the list.
+    fn entry(&mut self, n: u32, phase: Phase) -> usize {
+        let entries = vec![self.listed(n, phase)];
+        self.round(vec![Event::Members { news: News::Delta, entries }])
+    }
+
+    /// What single rounds go through: with nothing that happened, with an outcome, with a drain, with a return.
+    fn shape(&mut self) -> [usize; 5] {
+        let [idle, first] = [self.round(vec![Event::Timer]), self.outcome()];
+        let [second, drain] = [self.outcome(), self.entry(3, Phase::Draining)];
+        [idle, first, second, drain, self.entry(3, Phase::Ready)]
+    }
+}
+
+#[test]
+fn a_round_costs_as_much_whatever_the_number_of_replicas() {
+    let shape = Busy::new(200, 1).shape();
+    assert_eq!(shape, Busy::new(11_000, 1).shape());
+    assert_eq!((shape[0], shape[3], shape[4]), (0, 1, 1), "nothing happened; one entry changed");
+}
+
+#[test]
+fn a_round_costs_as_much_whatever_the_number_of_open_queries() {
+    assert_eq!(Busy::new(11_000, 1).shape(), Busy::new(11_000, 16).shape());
+}
