--- a/src/balance/settle.rs
+++ b/src/balance/settle.rs
@@ -61,9 +61,9 @@
         self.out.push(if safe { refuse } else { Action::Fail { query } });
     }
 
-    /// Send what a query still needs: parts not sent yet, as far as needed, then another attempt for late ones.
-    /// Returns which wait for what may change at any time: a replica to be drawn, or another attempt of a late one.
-    /// `ids` names all parts, or these alone where none is begun for what the others cover.
+    /// Send what a query still needs: parts not sent yet, as far as needed, then another attempt for late
+    /// ones. Returns which wait for what may change at any time: a replica, or another attempt. `ids` names
+    /// all parts, or those that waited, where none waits for what the others cover.
     pub(crate) fn advance(&mut self, query: &Query, ids: &[PartId]) -> Vec<PartId> {
         let (mut order, mut covered, mut late) = (Vec::new(), 0.0, Vec::new());
         for id in ids {
--- a/tests/round_cost/main.rs
+++ b/tests/round_cost/main.rs
@@ -53,6 +53,7 @@
             cells: replicas / 4,
             reports: Reports::Inline,
             round: 0.001,
+            most_tries: 1,
             cold: Some(plans::COLD),
             ..Settings::default()
         };
@@ -143,3 +144,19 @@
     let [narrow, wide] = [35, 410].map(|parts| Busy::new(11_000, 1, parts).shape());
     assert_eq!((narrow[0], &narrow[2..]), (wide[0], &wide[2..]));
 }
+
+#[test]
+fn a_late_part_costs_itself_in_each_round() {
+    for parts in [35, 410] {
+        let mut busy = Busy::new(11_000, 1, parts);
+        for _ in 1..parts {
+            busy.outcome();
+        }
+        busy.now += 30.0;
+        // The reports go stale, the part is late and its replica silent; then nothing more happens to it.
+        for _ in 0..2 {
+            busy.round(vec![Event::Timer]);
+        }
+        assert_eq!([(); 3].map(|()| busy.round(vec![Event::Timer])), [2; 3], "the query and its late part");
+    }
+}
