--- /dev/null
+++ b/tests/formats.rs
@@ -0,0 +1,109 @@
+//! What is read from others, by itself: births, frames, HTTP messages, records and hits.
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use common::frame;
+use marlgap::core::Clock;
+use marlgap::interface::{Phase, ShardId};
+use marlgap::net::frames::{self, FrameError};
+use marlgap::net::http::{self, HttpError, Kind};
+use marlgap::net::opensearch::{merge, query};
+use marlgap::net::records;
+
+/// Guards against taking one birth for two: the same Unix time is the same on the module's clock.
+#[test]
+fn a_birth_has_one_place_on_the_clock() {
+    let clock = Clock::new();
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    let born = clock.born(now.as_millis() as u64 - 5000);
+    assert_eq!(born, clock.born(now.as_millis() as u64 - 5000));
+    let age = clock.at(Instant::now()) - born.expect("told");
+    assert!((4.9..6.0).contains(&age), "{age}");
+    assert_eq!(clock.born(0), None);
+}
+
+#[test]
+fn frames_are_read_whole_or_not_at_all() {
+    let bytes = frame("a a1.3.b served 17 inflight=7,util=0.61\nV");
+    for n in 0..bytes.len() {
+        assert_eq!(frames::parse(&bytes[..n]), Ok(None));
+    }
+    let (found, length) = frames::parse(&bytes).expect("sound").expect("whole");
+    assert_eq!(length, bytes.len());
+    let frames::Frame::Answer { id, report, value, .. } = found else { panic!("{found:?}") };
+    assert_eq!((id, value), ("a1.3.b", &b"V"[..]));
+    assert_eq!((frames::reported(report, "load_share"), frames::reported(report, "concurrent")), (0.61, 7.0));
+    assert!(frames::reported(report, "tps").is_nan());
+    assert_eq!(frames::parse(&[0, 0, 0, 0]), Err(FrameError::Length(0)));
+    assert_eq!(frames::parse(&[255; 4]), Err(FrameError::Length(u32::MAX as usize)));
+    assert_eq!(frames::parse(&frame("x y")), Err(FrameError::Letter(b'x')));
+    for bad in ["a a1.3 served", "a a1.3 served 1 -", "a a1.3 gone 1 -\n", "a a1.3 served nan -\n"] {
+        assert_eq!(frames::parse(&frame(bad)), Err(FrameError::Line), "{bad}");
+    }
+}
+
+#[test]
+fn messages_are_bounded_and_their_chunks_checked() {
+    let parse = |text: &str| http::parse(text.as_bytes(), Kind::Request, 8);
+    let head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let whole = format!("\r\n{head}3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: t\r\n\r\nnext");
+    for n in 0..whole.len() - 4 {
+        assert!(matches!(parse(&whole[..n]), Ok(None)), "{n}");
+    }
+    let message = parse(&whole).expect("sound").expect("whole");
+    assert_eq!(message.length, whole.len() - 4);
+    assert!(matches!(parse(&format!("{head}9\r\n")), Err(HttpError::TooLarge)));
+    assert!(matches!(parse(&format!("{head}ffffffffffffffff\r\n")), Err(HttpError::TooLarge)));
+    assert!(matches!(parse(&format!("{head}3\r\nabcd\r\n")), Err(HttpError::Malformed(_))));
+    for bad in
+        ["Content-Length: +1", "Content-Length: 1\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip"]
+    {
+        let text = format!("POST / HTTP/1.1\r\n{bad}\r\n\r\n");
+        assert!(matches!(parse(&text), Err(HttpError::Malformed(_))), "{bad}");
+    }
+}
+
+const RECORDS: &str = "$ORIGIN t.test.\n$TTL 10\n_s._tcp IN PTR a\\032b._s._tcp\n_s._tcp IN PTR none._s._tcp\n\
+    a\\032b._s._tcp IN SRV 5 0 99 other\na\\032b._s._tcp IN SRV 0 0 9201 h\n\
+    a\\032b._s._tcp IN TXT \"Cell=3\" \"cell=4\" \"state=draining\" \"zone=tema\" \"born_ms=9\"\nh IN A 127.0.0.1\n";
+
+#[test]
+fn records_name_servers_and_bad_ones_are_refused() {
+    let parse = |text: &str| records::parse(text.as_bytes(), "_s._tcp.T.test.");
+    let servers = parse(RECORDS).expect("sound");
+    assert_eq!(servers.len(), 1, "one has no place: {servers:?}");
+    let server = &servers[0];
+    assert_eq!(server.address, SocketAddr::from(([127, 0, 0, 1], 9201)), "the better priority");
+    assert_eq!((server.cell, server.phase, &server.zone[..], server.born), (3, Phase::Draining, "tema", 9));
+    for (from, to) in
+        [("Cell=3\" \"cell=4", "x"), ("draining", "tired"), ("born_ms=9", "born_ms=x"), (" 9201", " x")]
+    {
+        assert!(parse(&RECORDS.replace(from, to)).is_err(), "{from} -> {to}");
+    }
+    assert!(parse("$INCLUDE other\n").is_err());
+    assert_eq!(parse("").expect("empty is sound"), []);
+}
+
+#[test]
+fn hits_are_merged_by_their_sort_values_with_missing_ones_last() {
+    let body = br#"{"sort":[{"area":"desc"},"_score"],"size":4,"track_total_hits":false}"#;
+    let search = query::parse("fields", "", body).expect("understood");
+    let reply = |hits: &str| {
+        format!(r#"{{"_shards":{{"successful":1,"failed":0}},"hits":{{"max_score":null,"hits":[{hits}]}}}}"#)
+    };
+    let one = reply(r#"{"_id":"a","sort":[9,1.0]},{"_id":"b","sort":[5,2.0]},{"_id":"c","sort":[null,9]}"#);
+    let two = reply(r#"{"_id":"d","sort":[10,1.0]},{"_id":"e","sort":[5,3.0]}"#);
+    assert!(merge::check(one.as_bytes(), true, 2).is_ok());
+    assert!(merge::check(one.as_bytes(), true, 1).is_err(), "not in this order");
+    let values = [(ShardId(0), Rc::from(one.as_bytes())), (ShardId(1), Rc::from(two.as_bytes()))];
+    let lacks = merge::Lacks { total: 2, failures: Vec::new(), timed_out: false };
+    let merged = merge::merge(&search, &values, &lacks, 7).expect("merged");
+    let merged: serde_json::Value = serde_json::from_str(&merged).expect("JSON");
+    let ids: Vec<_> =
+        merged["hits"]["hits"].as_array().expect("hits").iter().map(|h| h["_id"].as_str()).collect();
+    assert_eq!(ids, [Some("d"), Some("a"), Some("e"), Some("b")]);
+    assert_eq!((&merged["hits"]["total"], &merged["took"]), (&serde_json::Value::Null, &7.into()));
+}
--- /dev/null
+++ b/tests/grpc/connections.rs
@@ -0,0 +1,162 @@
+//! Connections on which either side breaks the rules of HTTP/2: rude servers, floods and silent clients.
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use marlgap::net::grpc::status::Code;
+
+use crate::common::*;
+use crate::rig::{new_rig, ONCE, SAFE};
+use crate::standin::Client;
+
+/// A server written by hand, for what no sound one does: it answers PINGs until a call comes. Then it says GOAWAY and
+/// that it has seen no stream (`leaves`), or nothing any more. Calls that it saw are counted.
+fn rude_server(leaves: bool) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let (at, calls) = (listener.local_addr().expect("bound"), Arc::new(AtomicUsize::new(0)));
+    let calls_of = calls.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let calls = calls_of.clone();
+            std::thread::spawn(move || {
+                let mut preface = [0; 24];
+                drop(stream.read_exact(&mut preface));
+                // Empty settings, and the ACK of the other's.
+                drop(stream.write_all(b"\0\0\0\x04\0\0\0\0\0\0\0\0\x04\x01\0\0\0\0"));
+                let (mut head, mut silent) = ([0; 9], false);
+                while stream.read_exact(&mut head).is_ok() {
+                    let mut payload = vec![0; usize::from(head[1]) << 8 | usize::from(head[2])];
+                    drop(stream.read_exact(&mut payload));
+                    match head[3] {
+                        1 => {
+                            calls.fetch_add(1, Ordering::SeqCst);
+                            silent = !leaves;
+                            if leaves {
+                                drop(stream.write_all(b"\0\0\x08\x07\0\0\0\0\0\0\0\0\0\0\0\0\0"));
+                            }
+                        }
+                        6 if head[4] == 0 && !silent => {
+                            drop(stream.write_all(&[b"\0\0\x08\x06\x01\0\0\0\0", &payload[..]].concat()));
+                        }
+                        _ => {}
+                    }
+                }
+            });
+        }
+    });
+    (at, calls)
+}
+
+#[test]
+fn streams_above_goaways_last_one_never_ran_and_a_silent_connection_is_given_up() {
+    // Half of the draws fall on the one that leaves: its calls go elsewhere, also those that must not run twice.
+    let rig = new_rig("grpc_goaway", 2, |_| {});
+    let (rude, calls) = rude_server(true);
+    records(&rig.folder, &[(rig.servers[0], "up"), (rude, "up")]);
+    drop(rig.program.log("list of servers"));
+    for n in 0..20 {
+        let id = format!("goaway-{n}");
+        let got = rig.call(ONCE, &id, "ok:1:0");
+        rig.judge(&id, &got, Code::Ok, 1, 1..=1);
+    }
+    assert!(calls.load(Ordering::SeqCst) > 0, "it was tried");
+    // One that takes a call and says nothing more, PINGs included: 0.1 s to the PING, 0.3 s for its answer.
+    let rig = new_rig("grpc_mute", 1, |_| {});
+    let (mute, calls) = rude_server(false);
+    records(&rig.folder, &[(mute, "up")]);
+    drop(rig.program.log("list of servers"));
+    let begun = Instant::now();
+    let got = rig.call(ONCE, "mute", "ok:1:0");
+    let took = begun.elapsed();
+    assert_eq!((got.code(), calls.load(Ordering::SeqCst)), (Code::Unavailable as u32, 1), "{got:?}");
+    assert!(took > Duration::from_millis(390) && took < Duration::from_millis(1500), "{took:?}");
+    drop(rig.program.log("connection to a server given up"));
+}
+
+/// Frames written by hand, behind the preface and empty settings.
+fn raw(front: SocketAddr, frames: &[u8]) -> std::net::TcpStream {
+    let mut stream = connect(front);
+    let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0".to_vec();
+    bytes.extend_from_slice(frames);
+    // A flood may be cut off in the middle.
+    drop(stream.write_all(&bytes));
+    stream
+}
+
+/// The code of the first GOAWAY that comes before the end.
+fn goaway(stream: &mut std::net::TcpStream) -> Option<u32> {
+    loop {
+        let mut head = [0; 9];
+        stream.read_exact(&mut head).ok()?;
+        let mut payload = vec![0; usize::from(head[1]) << 8 | usize::from(head[2])];
+        stream.read_exact(&mut payload).ok()?;
+        if head[3] == 7 {
+            return Some(u32::from_be_bytes(payload[4..8].try_into().expect("four")));
+        }
+    }
+}
+
+#[test]
+fn floods_end_their_connection_with_goaway_and_nobody_elses_call_suffers() {
+    let rig = new_rig("grpc_floods", 1, |file| file["grpc"]["front"]["idle_s"] = 1.0.into());
+    let frame = |kind: u8, flags: u8, stream: u32, payload: &[u8]| {
+        let length = (payload.len() as u32).to_be_bytes();
+        [&length[1..], &[kind, flags], &stream.to_be_bytes(), payload].concat()
+    };
+    // A head of a call that needs no table: literals without indexing.
+    let literal = |name: &str, value: &str| {
+        [&[0, name.len() as u8][..], name.as_bytes(), &[value.len() as u8], value.as_bytes()].concat()
+    };
+    let head = [
+        literal(":method", "POST"),
+        literal(":scheme", "http"),
+        literal(":path", "/t.S/Bidi"),
+        literal(":authority", "f"),
+        literal("content-type", "application/grpc"),
+        literal("tile", "3"),
+        literal("do", "silent"),
+    ]
+    .concat();
+    let resets: Vec<u8> = (0..300u32)
+        .flat_map(|n| [frame(1, 4, 2 * n + 1, &head), frame(3, 0, 2 * n + 1, &[0, 0, 0, 8])].concat())
+        .collect();
+    let empty = [frame(1, 4, 1, &head), frame(0, 0, 1, &[]).repeat(500)].concat();
+    let continued = [frame(1, 0, 1, &head), frame(9, 0, 1, &literal("x", "y")).repeat(500)].concat();
+    let floods = [
+        ("PING", frame(6, 0, 0, &[0; 8]).repeat(500)),
+        ("SETTINGS", frame(4, 0, 0, &[]).repeat(500)),
+        ("RST_STREAM", resets),
+        ("empty DATA", empty),
+        ("CONTINUATION", continued),
+        ("WINDOW_UPDATE, PRIORITY and unknown", frame(8, 0, 0, &[0, 0, 0, 1]).repeat(30_000)),
+    ];
+    Client::with(rig.front, async |client| {
+        for (kind, bytes) in &floods {
+            let mut stream = raw(rig.front, bytes);
+            let id = format!("beside {kind}");
+            let metadata = [("call-id", &id[..]), ("do", "ok:1:0"), ("tile", "3")];
+            assert_eq!(client.call(SAFE, &metadata, b"x").await.code(), 0, "{kind}");
+            let code = goaway(&mut stream);
+            assert_eq!(code, Some(11), "{kind}: ENHANCE_YOUR_CALM");
+        }
+    });
+    // Too long a head, and more calls than may be, cost their own calls alone; who rests is told to go.
+    Client::with(rig.front, async |client| {
+        let long = "x".repeat(20_000);
+        let got = client
+            .call(SAFE, &[("call-id", "long"), ("do", "ok:1:0"), ("tile", "3"), ("x", &long)], b"x")
+            .await;
+        assert!(got.messages == 0 && rig.record.of("long").is_empty(), "{got:?}");
+    });
+    assert_eq!(goaway(&mut raw(rig.front, &[])), Some(0), "idle: an orderly GOAWAY");
+    // Who says nothing, or something else, is closed in time.
+    let begun = Instant::now();
+    for said in [&b""[..], b"GET / HTTP/1.1\r\n\r\n", b"PRI * HTTP/2.0\r\n"] {
+        let mut stream = connect(rig.front);
+        stream.write_all(said).expect("written");
+        drop(stream.read_to_end(&mut Vec::new()));
+    }
+    assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+}
--- /dev/null
+++ b/tests/grpc/rig.rs
@@ -0,0 +1,88 @@
+//! The program with a gRPC front before stand-ins, and the judgement of one call.
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use marlgap::net::grpc::status::Code;
+
+use crate::common::*;
+use crate::standin::{serve, Client, Got, Record};
+
+pub const SAFE: &str = "/t.S/Safe";
+pub const ONCE: &str = "/t.S/Once";
+
+pub struct Rig {
+    pub program: Program,
+    pub front: SocketAddr,
+    pub record: Arc<Record>,
+    pub servers: Vec<SocketAddr>,
+    pub folder: PathBuf,
+}
+
+/// The program with a gRPC front alone, before `count` servers that all hold every shard.
+pub fn new_rig(name: &str, count: usize, change: impl FnOnce(&mut serde_json::Value)) -> Rig {
+    let (servers, record) = serve(count, 100);
+    let folder = configure(name, &servers, servers[0], count, 400);
+    let path = folder.join("marlgap.json5");
+    let mut file: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&path).expect("read")).expect("JSON");
+    let tile = serde_json::json!({"from": "metadata", "key": "tile"});
+    let row = |m: &str, kind: &str, class: &str| serde_json::json!({"match": m, "kind": kind, "class": class, "shard": tile, "copy": false});
+    let mut rows = vec![
+        row(SAFE, "unary", "field-lookup"),
+        row("/t.S/Down", "server_stream", "field-lookup"),
+        row("/t.S/Bidi", "bidi", "field-lookup"),
+        row("/t.S/Summary", "unary", "district-summary"),
+        row(ONCE, "unary", "field-lookup"),
+        row("/t.S/Field", "unary", "field-lookup"),
+        row("/t.S/Copied", "unary", "field-lookup"),
+    ];
+    rows[3]["merge"] = "concat".into();
+    rows[4]["effect"] = "unsafe".into();
+    rows[5]["shard"] = serde_json::json!({"from": "field", "path": [1]});
+    rows[6]["copy"] = true.into();
+    let api = file.as_object_mut().expect("a map").remove("query_api").expect("there");
+    file["grpc"] = serde_json::json!({"listen": "127.0.0.1:0", "records": "zone", "service": api["service"],
+        "routes": rows, "front": {"replay": 4096, "handshake_s": 0.3},
+        "pool": {"ping_s": 0.1, "ping_timeout_s": 0.3}});
+    change(&mut file);
+    std::fs::write(&path, file.to_string()).expect("written");
+    let program = Program::alone(&folder);
+    let front = place(&program.log("gRPC listening, "));
+    Rig { program, front, record, servers, folder }
+}
+
+impl Rig {
+    pub fn call(&self, path: &str, id: &str, script: &str) -> Got {
+        self.call_with(path, id, script, &[])
+    }
+
+    pub fn call_with(&self, path: &str, id: &str, script: &str, more: &[(&str, &str)]) -> Got {
+        let metadata = [&[("call-id", id), ("do", script), ("tile", "3")], more].concat();
+        Client::with(self.front, async |client| client.call(path, &metadata, id.as_bytes()).await)
+    }
+
+    /// Judge a call that was to end with `code` after `messages` messages of one attempt, of `attempts` in all.
+    pub fn judge(
+        &self,
+        id: &str,
+        got: &Got,
+        code: Code,
+        messages: usize,
+        attempts: std::ops::RangeInclusive<usize>,
+    ) {
+        assert_eq!((got.code(), got.messages), (code as u32, messages), "{id}: {got:?}");
+        let seen = self.record.of(id);
+        assert!(attempts.contains(&seen.len()), "{id}: {} attempts, {got:?}", seen.len());
+        // No bytes of two attempts are mixed: all messages are one server's, of one attempt, and in order.
+        let heads: Vec<_> = got.body.split_terminator(';').filter_map(|m| m.rsplit_once('/')).collect();
+        assert_eq!(heads.len(), messages, "{id}: {got:?}");
+        for (k, (head, n)) in heads.iter().enumerate() {
+            assert_eq!((*head, n.parse()), (heads[0].0, Ok(k)), "{id}: {got:?}");
+        }
+        // Each attempt got the request as it was sent.
+        for attempt in seen.iter().filter(|s| !s.body.is_empty()) {
+            assert_eq!(&attempt.body[5..], id.as_bytes(), "{id}");
+        }
+    }
+}
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -1,22 +1,17 @@
-//! Pieces of the network code by themselves, and the program's start.
+//! Connections to data nodes by themselves: places, descriptors, queues, deaths and drains.
 mod common;
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::Command;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use common::*;
-use marlgap::core::{Call, Clock, Step, Stop, Transport};
+use marlgap::core::{Call, Step, Stop, Transport};
 use marlgap::interface::{Outcome, Phase, ReplicaId, ShardId};
 use marlgap::net::descriptors::Descriptors;
-use marlgap::net::frames::{self, FrameError};
-use marlgap::net::http::{self, HttpError, Kind};
 use marlgap::net::nodes::{Carried, Entry, Nodes};
-use marlgap::net::opensearch::{merge, query};
-use marlgap::net::records;
 
 fn told(node: SocketAddr) -> marlgap::settings::Deployment {
     // A folder each: tests run side by side.
@@ -337,149 +332,3 @@
         assert_eq!(ended.outcome, expected, "{phase:?}");
     }
 }
-
-/// Guards against taking one birth for two: the same Unix time is the same on the module's clock.
-#[test]
-fn a_birth_has_one_place_on_the_clock() {
-    let clock = Clock::new();
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
-    let born = clock.born(now.as_millis() as u64 - 5000);
-    assert_eq!(born, clock.born(now.as_millis() as u64 - 5000));
-    let age = clock.at(Instant::now()) - born.expect("told");
-    assert!((4.9..6.0).contains(&age), "{age}");
-    assert_eq!(clock.born(0), None);
-}
-
-#[test]
-fn frames_are_read_whole_or_not_at_all() {
-    let bytes = frame("a a1.3.b served 17 inflight=7,util=0.61\nV");
-    for n in 0..bytes.len() {
-        assert_eq!(frames::parse(&bytes[..n]), Ok(None));
-    }
-    let (found, length) = frames::parse(&bytes).expect("sound").expect("whole");
-    assert_eq!(length, bytes.len());
-    let frames::Frame::Answer { id, report, value, .. } = found else { panic!("{found:?}") };
-    assert_eq!((id, value), ("a1.3.b", &b"V"[..]));
-    assert_eq!((frames::reported(report, "load_share"), frames::reported(report, "concurrent")), (0.61, 7.0));
-    assert!(frames::reported(report, "tps").is_nan());
-    assert_eq!(frames::parse(&[0, 0, 0, 0]), Err(FrameError::Length(0)));
-    assert_eq!(frames::parse(&[255; 4]), Err(FrameError::Length(u32::MAX as usize)));
-    assert_eq!(frames::parse(&frame("x y")), Err(FrameError::Letter(b'x')));
-    for bad in ["a a1.3 served", "a a1.3 served 1 -", "a a1.3 gone 1 -\n", "a a1.3 served nan -\n"] {
-        assert_eq!(frames::parse(&frame(bad)), Err(FrameError::Line), "{bad}");
-    }
-}
-
-#[test]
-fn messages_are_bounded_and_their_chunks_checked() {
-    let parse = |text: &str| http::parse(text.as_bytes(), Kind::Request, 8);
-    let head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let whole = format!("\r\n{head}3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: t\r\n\r\nnext");
-    for n in 0..whole.len() - 4 {
-        assert!(matches!(parse(&whole[..n]), Ok(None)), "{n}");
-    }
-    let message = parse(&whole).expect("sound").expect("whole");
-    assert_eq!(message.length, whole.len() - 4);
-    assert!(matches!(parse(&format!("{head}9\r\n")), Err(HttpError::TooLarge)));
-    assert!(matches!(parse(&format!("{head}ffffffffffffffff\r\n")), Err(HttpError::TooLarge)));
-    assert!(matches!(parse(&format!("{head}3\r\nabcd\r\n")), Err(HttpError::Malformed(_))));
-    for bad in
-        ["Content-Length: +1", "Content-Length: 1\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip"]
-    {
-        let text = format!("POST / HTTP/1.1\r\n{bad}\r\n\r\n");
-        assert!(matches!(parse(&text), Err(HttpError::Malformed(_))), "{bad}");
-    }
-}
-
-const RECORDS: &str = "$ORIGIN t.test.\n$TTL 10\n_s._tcp IN PTR a\\032b._s._tcp\n_s._tcp IN PTR none._s._tcp\n\
-    a\\032b._s._tcp IN SRV 5 0 99 other\na\\032b._s._tcp IN SRV 0 0 9201 h\n\
-    a\\032b._s._tcp IN TXT \"Cell=3\" \"cell=4\" \"state=draining\" \"zone=tema\" \"born_ms=9\"\nh IN A 127.0.0.1\n";
-
-#[test]
-fn records_name_servers_and_bad_ones_are_refused() {
-    let parse = |text: &str| records::parse(text.as_bytes(), "_s._tcp.T.test.");
-    let servers = parse(RECORDS).expect("sound");
-    assert_eq!(servers.len(), 1, "one has no place: {servers:?}");
-    let server = &servers[0];
-    assert_eq!(server.address, SocketAddr::from(([127, 0, 0, 1], 9201)), "the better priority");
-    assert_eq!((server.cell, server.phase, &server.zone[..], server.born), (3, Phase::Draining, "tema", 9));
-    for (from, to) in
-        [("Cell=3\" \"cell=4", "x"), ("draining", "tired"), ("born_ms=9", "born_ms=x"), (" 9201", " x")]
-    {
-        assert!(parse(&RECORDS.replace(from, to)).is_err(), "{from} -> {to}");
-    }
-    assert!(parse("$INCLUDE other\n").is_err());
-    assert_eq!(parse("").expect("empty is sound"), []);
-}
-
-#[test]
-fn hits_are_merged_by_their_sort_values_with_missing_ones_last() {
-    let body = br#"{"sort":[{"area":"desc"},"_score"],"size":4,"track_total_hits":false}"#;
-    let search = query::parse("fields", "", body).expect("understood");
-    let reply = |hits: &str| {
-        format!(r#"{{"_shards":{{"successful":1,"failed":0}},"hits":{{"max_score":null,"hits":[{hits}]}}}}"#)
-    };
-    let one = reply(r#"{"_id":"a","sort":[9,1.0]},{"_id":"b","sort":[5,2.0]},{"_id":"c","sort":[null,9]}"#);
-    let two = reply(r#"{"_id":"d","sort":[10,1.0]},{"_id":"e","sort":[5,3.0]}"#);
-    assert!(merge::check(one.as_bytes(), true, 2).is_ok());
-    assert!(merge::check(one.as_bytes(), true, 1).is_err(), "not in this order");
-    let values = [(ShardId(0), Rc::from(one.as_bytes())), (ShardId(1), Rc::from(two.as_bytes()))];
-    let lacks = merge::Lacks { total: 2, failures: Vec::new(), timed_out: false };
-    let merged = merge::merge(&search, &values, &lacks, 7).expect("merged");
-    let merged: serde_json::Value = serde_json::from_str(&merged).expect("JSON");
-    let ids: Vec<_> =
-        merged["hits"]["hits"].as_array().expect("hits").iter().map(|h| h["_id"].as_str()).collect();
-    assert_eq!(ids, [Some("d"), Some("a"), Some("e"), Some("b")]);
-    assert_eq!((&merged["hits"]["total"], &merged["took"]), (&serde_json::Value::Null, &7.into()));
-}
-
-/// What cannot be used ends the program with one line and a status that is not zero.
-#[test]
-fn a_bad_configuration_is_one_line_and_a_status() {
-    let at = SocketAddr::from(([127, 0, 0, 1], 9));
-    let folder = configure("bad", &[at], at, 1, 75);
-    let good = std::fs::read_to_string(folder.join("config.json")).expect("read");
-    let api = std::fs::read_to_string(folder.join("marlgap.json5")).expect("read");
-    let run = |config: &str, api: &str, arguments: &[&str]| {
-        std::fs::write(folder.join("config.json"), config).expect("written");
-        std::fs::write(folder.join("marlgap.json5"), api).expect("written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
-        command.env("RELAY_CONFIG", folder.join("config.json")).current_dir(&folder).args(arguments);
-        let output = command.output().expect("it runs");
-        let said = String::from_utf8(output.stderr).expect("text");
-        assert!(!output.status.success() && said.lines().count() == 1, "{said}");
-        said
-    };
-    assert!(run("{", &api, &[]).contains("configuration: "));
-    assert!(run(&good.replace("127.0.0.1:0", "nowhere"), &api, &[]).contains("'nowhere' is not an address"));
-    assert!(run(&good.replace("\"seed\":\"1\"", "\"seed\":\"xyz\""), &api, &[]).contains("seed"));
-    assert!(run(&good.replace("Positions", "Other"), &api, &[]).contains("FamilyInfo.Positions"));
-    assert!(run(&good.replace("\"AimS\":4.0", "\"AimS\":-4.0"), &api, &[])
-        .contains("AimS is not above 0 (class 0)"));
-    // The operator's file: each fault with its path, line and column.
-    let search = ["serve", "--config", "marlgap.json5"];
-    let faults = [
-        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":5", "query_api.listen: "),
-        ("\"records\"", "\"record\"", "query_api.record: unknown field"),
-        (
-            "\"field-lookup\",\"overlaps\"",
-            "\"no-class\",\"overlaps\"",
-            "query_api.indices.fields: no class 'no-class'",
-        ),
-        ("\"overlaps\":\"overlap-check\"", "\"overlaps\":\"field-lookup\"", "has another index"),
-        ("\"AimS\":4.0", "\"AimS\":\"4\"", "settings.Classes[0].AimS: "),
-        (
-            "\"Shards\":24",
-            "\"Shards\":0",
-            "settings.FamilyInfo.Shards: FamilyInfo.Shards is not a whole number",
-        ),
-        ("\"Shards\":24", "\"Other\":24", "settings: FamilyInfo.Shards is missing or 0"),
-    ];
-    for (old, new, said) in faults {
-        assert!(api.contains(old), "{old} in {api}");
-        let line = run(&good, &api.replace(old, new), &search);
-        assert!(line.starts_with("marlgap: marlgap.json5:1:") && line.contains(said), "{line}");
-    }
-    assert!(run(&good, "{ settings: {", &search).contains("marlgap.json5:1:"));
-    assert!(run(&good, &api.replace("\"zone\"", "\"nozone\""), &search).contains("cannot read"));
-}
