Move the tests under src/ to test files

Tests live in test files; eleven modules of src/ still had theirs beside or in them.

- tests/fleet_log (the log and its simulator) and tests/fleet_parts (configuration, time, the two foundings, the store) are new; the others join files that were there: the outcome's in formats.rs, the fleet section's in configuration.rs, the sketches' and draws' in tests/foresight.
- Two items become public for it: Set::new (Set::decode made any set already) and Roster::decode, the counterpart of Roster::encode.
What else the tests looked at inside they now see from outside: a message of the log as a peer frames it, the path of a store's mark, a founding member's own seat, its due time in place of its private state.
A roster goes through its bytes and no longer only through its form.

--- a/src/fleet/found.rs
+++ b/src/fleet/found.rs
@@ -33,7 +33,7 @@
 pub struct Set(Rc<[Seat]>);
 
 impl Set {
-    fn new(mut seats: Vec<Seat>) -> Set {
+    pub fn new(mut seats: Vec<Seat>) -> Set {
         seats.sort_by(|a, b| a.member.id.cmp(&b.member.id));
         Set(seats.into())
     }
@@ -289,7 +289,3 @@
         }
     }
 }
-
-#[cfg(test)]
-#[path = "found_tests.rs"]
-mod tests;
--- a/src/fleet/log/mod.rs
+++ b/src/fleet/log/mod.rs
@@ -17,11 +17,7 @@
 mod memory;
 mod node;
 mod roster;
-#[cfg(test)]
-mod sim;
 mod stored;
-#[cfg(test)]
-mod tests;
 
 use std::fmt;
 use std::rc::Rc;
--- a/src/fleet/log/roster.rs
+++ b/src/fleet/log/roster.rs
@@ -316,4 +316,9 @@
     pub fn encode(&self) -> Vec<u8> {
         self.keep().encode_to_vec()
     }
+
+    /// The caller has bounded the bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Roster, FormError> {
+        Roster::kept(Kept::decode(bytes)?)
+    }
 }
--- a/src/foresight/sketch.rs
+++ b/src/foresight/sketch.rs
@@ -155,39 +155,3 @@
         all.map(|v| (v.value_iterated_to(), v.count_at_value())).collect()
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        #[test]
-        fn a_heavy_hitters_true_count_lies_within_its_error(keys in prop::collection::vec(0u32..40, 1..400)) {
-            let mut heavy = Heavy::new(8);
-            keys.iter().for_each(|k| heavy.add(*k));
-            let truth = |key: u32| keys.iter().filter(|k| **k == key).count() as u64;
-            prop_assert_eq!(heavy.iter().map(|(_, n, _)| n).sum::<u64>(), keys.len() as u64);
-            prop_assert!(heavy.iter().count() <= 8 && heavy.least() <= keys.len() as u64 / 8);
-            for key in 0..40 {
-                match heavy.iter().find(|(k, ..)| **k == key) {
-                    Some((_, n, e)) => prop_assert!((n - e..=n).contains(&truth(key))),
-                    None => prop_assert!(truth(key) <= heavy.least()),
-                }
-            }
-        }
-    }
-
-    #[test]
-    fn distinct_clients_are_counted_within_three_errors_and_once() {
-        for n in [1u64, 10, 100, 1000, 100_000] {
-            let (mut a, mut b) = (Distinct::default(), Distinct::default());
-            (0..n).for_each(|c| a.add(c));
-            (0..n).filter(|c| c % 2 == 0).for_each(|c| b.add(c));
-            b.merge(&a);
-            assert_eq!(a, b, "those of b were known");
-            assert!((a.estimate() / n as f64 - 1.0).abs() < 3.0 * DISTINCT_ERROR, "{n}: {}", a.estimate());
-            assert_eq!(Distinct::from_set(a.set()), Some(a));
-        }
-    }
-}
--- a/src/net/fleet/store.rs
+++ b/src/net/fleet/store.rs
@@ -339,7 +339,3 @@
     }
     table.retain_in(..first, |_, _| false).map_err(spoilt)
 }
-
-#[cfg(test)]
-#[path = "store_tests.rs"]
-mod tests;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -1,10 +1,13 @@
-//! The program's start with configurations that can't be used.
+//! Configurations: the program's start with those that can't be used, and the section of the fleet.
 mod common;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::Command;
 
 use common::configure;
+use marlgap::fleet::work::WhenFull;
+use marlgap::operator::Operator;
 
 /// What cannot be used ends the program with one line and a status that is not zero.
 #[test]
@@ -56,3 +59,59 @@
     assert!(run(&good, "{ settings: {", &search).contains("marlgap.json5:1:"));
     assert!(run(&good, &api.replace("\"zone\"", "\"nozone\""), &search).contains("cannot read"));
 }
+
+fn parse(fleet: &str) -> Result<Operator, String> {
+    let all = include_str!("../deploy/marlgap.json5");
+    let text = all.trim_end().strip_suffix('}').expect("an object").to_owned() + "fleet: " + fleet + "}";
+    Operator::parse(&text, Path::new("d/f")).map_err(|e| e.to_string())
+}
+
+const SOUND: &str = r#"{ cluster: "accra", name: "c2", listen: "127.0.0.1:7401", store: "c2.redb",
+    members: [{ name: "c2", address: "127.0.0.1:7401", zone: "b" }, { name: "c1", address: "127.0.0.1:7400", zone: "a" }],
+    protect: { "field-lookup": { slack_s: 2.5, when_full: "unprotected" } }, lease_ms: 250, limits: { works: 9 } }"#;
+
+#[test]
+fn a_sound_section_is_taken_over_whole() {
+    let fleet = parse(SOUND).expect("sound").fleet.expect("there");
+    let names: Vec<_> = fleet.members.iter().map(|m| &*m.id.name).collect();
+    assert_eq!((names, &*fleet.zone()), (vec!["c1", "c2"], "b"));
+    assert_eq!((fleet.store, fleet.frame), (Some("d/c2.redb".into()), 1 << 20));
+    assert_eq!((fleet.limits.works, fleet.limits.lease, fleet.limits.most_tries), (9, 250_000, 4));
+    let rules: Vec<_> = fleet.rules.iter().map(Option::is_some).collect();
+    assert_eq!(rules, [false, true, false]);
+    let rule = fleet.rules[1].clone().expect("protected");
+    assert!(
+        rule.repeats && rule.guards == 3 && rule.slack_ms == 2500 && rule.when_full == WhenFull::Unprotected
+    );
+    let plain = include_str!("../deploy/marlgap.json5");
+    assert!(Operator::parse(plain, Path::new("f")).expect("sound").fleet.is_none(), "off unless asked for");
+}
+
+#[test]
+fn faults_are_said_with_path_and_place() {
+    let faults = [
+        (r#"cluster: "accra""#, r#"cluster: """#, "fleet.cluster: must be"),
+        (r#"name: "c2", listen"#, r#"name: "c3", listen"#, "fleet.name: 'c3' is not among"),
+        (r#"name: "c1""#, r#"name: "c2""#, "fleet.members[1].name: member 'c2' is named twice"),
+        (r#"name: "c1""#, r#"name: "c 1""#, "fleet.members[1].name: 'c 1' is no name"),
+        ("127.0.0.1:7400", "127.0.0.1:7401", "fleet.members[1].address: 127.0.0.1:7401 is another"),
+        ("127.0.0.1:7400", "127.0.0.1:0", "fleet.members[1].address: "),
+        (r#"zone: "a""#, r#"zone: """#, "fleet.members[1].zone: must be"),
+        ("field-lookup", "no-class", "fleet.protect.no-class: no class"),
+        ("slack_s: 2.5", "guards: 2", "fleet.protect.field-lookup.guards: must be 3 to 5"),
+        ("slack_s: 2.5", "slack_s: -1", "fleet.protect.field-lookup.slack_s: must be 0 to 3600"),
+        (r#""unprotected""#, r#""drop""#, "unknown variant `drop`"),
+        ("lease_ms: 250", "lease_ms: 1", "fleet.lease_ms: must be 10 to 60000"),
+        ("lease_ms: 250", "drift: -0.1", "fleet.drift: must be 0 to 0.5"),
+        ("works: 9", "works: 0", "fleet.limits.works: must be 1 to"),
+        ("works: 9", "frame: 262144", "fleet.limits.frame: must be 266240 to"),
+        ("works: 9", "bytes: 1024", "fleet.limits.bytes: must be 262144 to"),
+        ("works: 9", "queue: 1", "fleet.limits.queue: must be 16 to"),
+        ("works: 9", "works: 9, more: 1", "unknown field `more`"),
+    ];
+    for (old, new, said) in faults {
+        assert!(SOUND.contains(old), "{old}");
+        let error = parse(&SOUND.replacen(old, new, 1)).err().unwrap_or_else(|| panic!("taken: {new}"));
+        assert!(error.starts_with("d/f:") && error.contains(said) && !error.contains('\n'), "{error}");
+    }
+}
--- a/src/fleet/log/tests.rs
+++ b/tests/fleet_log/main.rs
@@ -1,10 +1,19 @@
+//! The replicated log: voters under a virtual clock, spoilt and wild messages, rosters and proposals.
+mod sim;
+
+use marlgap::fleet::log::*;
+use marlgap::fleet::{Configuration, MemberId};
+use protobuf::Message as _;
 use raft::eraftpb::{Entry, Message, MessageType};
 use rand_core::RngCore;
 
-use super::frame;
-use super::sim::{seat, Sim, Without};
-use super::*;
-use crate::fleet::{Configuration, MemberId};
+use sim::{fnv, seat, Sim, Without};
+
+/// A message as a peer sends it: version, cluster, check, message.
+fn framed(cluster: u64, message: &Message) -> Vec<u8> {
+    let body = message.write_to_bytes().expect("bytes");
+    [&[1][..], &cluster.to_be_bytes(), &fnv(&body).to_be_bytes(), &body].concat()
+}
 
 /// Seeds of each kind of play, over the cores.
 fn plays(n: usize, seeds: std::ops::Range<u64>, without: Without) -> Vec<Result<(usize, u64), String>> {
@@ -136,7 +145,7 @@
             let data = if sim.chance(2) { Vec::new() } else { vec![1, 2, 3] };
             m.mut_snapshot().data = data.into();
         }
-        let bytes = frame::encode(cluster, &m).expect("bytes");
+        let bytes = framed(cluster, &m);
         match held.receive(&name, &bytes) {
             Ok(()) => taken += 1,
             Err(_) => refused += 1,
@@ -215,8 +224,7 @@
         }
     }
     assert_eq!(many.epochs().count(), MOST_EPOCHS);
-    let kept = many.keep();
-    assert_eq!(Roster::kept(kept), Ok(many));
+    assert_eq!(Roster::decode(&many.encode()), Ok(many));
 }
 
 #[test]
--- a/src/fleet/log/sim.rs
+++ b/tests/fleet_log/sim.rs
@@ -1,14 +1,14 @@
 //! Voters under a virtual clock: messages lost, doubled, held back and reordered, partitions, crashes with and without
 //! the disk. One checker looks at all that any of them ever applied.
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::rc::Rc;
 
+use marlgap::fleet::log::*;
+use marlgap::fleet::{Configuration, Member, MemberId};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::*;
-use crate::fleet::{Configuration, Member, MemberId};
-
 /// A guard that is taken out, to show that the checker finds what breaks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Without {
@@ -19,6 +19,20 @@
     NewVoter,
 }
 
+/// The finisher of SplitMix64.
+fn mix(x: u64) -> u64 {
+    let z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+pub fn fnv(bytes: &[u8]) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(bytes);
+    hasher.finish()
+}
+
 pub struct Node {
     pub seat: Seat,
     pub disk: Stored,
--- a/src/fleet/found_tests.rs
+++ b/tests/fleet_parts/founding.rs
@@ -1,9 +1,13 @@
+//! Founding members of a fleet with a log, that lose messages, processes and disks.
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use marlgap::fleet::found::{FoundAct, Founding, Say, Set, Stage, Stuck};
+use marlgap::fleet::log::Seat;
+use marlgap::fleet::{Member, MemberId};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::*;
-use crate::fleet::{Member, MemberId};
-
 fn seat(n: usize, incarnation: u64, disk: u64) -> Seat {
     let id = MemberId::new(&format!("m{n}"), incarnation);
     let address = ([127, 0, 0, 1], n as u16 + 1).into();
@@ -11,6 +15,7 @@
 }
 
 struct Process {
+    me: Seat,
     founding: Founding,
     disk: Stage,
     joined: Option<u64>,
@@ -31,10 +36,10 @@
 
 impl Play {
     fn new(n: usize) -> Play {
-        let process = |i| Process {
-            founding: start(n, seat(i, 1, 100 + i as u64), Stage::Empty),
-            disk: Stage::Empty,
-            joined: None,
+        let process = |i| {
+            let me = seat(i, 1, 100 + i as u64);
+            let founding = start(n, me.clone(), Stage::Empty);
+            Process { me, founding, disk: Stage::Empty, joined: None }
         };
         Play {
             all: (0..n).map(process).collect(),
@@ -47,11 +52,12 @@
     fn restart(&mut self, i: usize, incarnation: u64, with_disk: bool) {
         // Its connections are gone, what it said before may still be under way.
         self.wire.retain(|m| m.0 .2 != i);
-        let old = self.all[i].founding.me.disk;
+        let old = self.all[i].me.disk;
         let disk = if with_disk { self.all[i].disk.clone() } else { Stage::Empty };
         let me = seat(i, incarnation, if with_disk { old } else { 1000 * incarnation + i as u64 });
         let joined = self.all[i].joined.filter(|_| with_disk);
-        self.all[i] = Process { founding: start(self.all.len(), me, disk.clone()), disk, joined };
+        let founding = start(self.all.len(), me.clone(), disk.clone());
+        self.all[i] = Process { me, founding, disk, joined };
     }
 
     /// `upto`: the process ends after as many acts.
@@ -81,9 +87,10 @@
     /// Clusters in which a majority of the founders' disks takes part: these can decide.
     fn deciding(&self) -> Vec<u64> {
         let part = |cluster: u64, set: &Set| {
-            let of = |p: &&Process| {
-                p.joined == Some(cluster) && set.holds(&p.founding.me.member.id.name, p.founding.me.disk)
+            let holds = |me: &Seat| {
+                set.seats().iter().any(|s| s.member.id.name == me.member.id.name && s.disk == me.disk)
             };
+            let of = |p: &&Process| p.joined == Some(cluster) && holds(&p.me);
             2 * self.all.iter().filter(of).count() > set.seats().len()
         };
         self.sets.iter().filter(|(c, set)| part(**c, set)).map(|(c, _)| *c).collect()
--- /dev/null
+++ b/tests/fleet_parts/founding_first.rs
@@ -0,0 +1,87 @@
+//! Founding members of a fleet without a log: one list is formed.
+use std::rc::Rc;
+
+use marlgap::fleet::found_first::{Act, Founding, Kind, Note, Round};
+use marlgap::fleet::{Configuration, Member, MemberId};
+use rand_core::{RngCore, SeedableRng};
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+fn file() -> Rc<[Member]> {
+    let member = |name: &&str| Member {
+        id: MemberId::new(name, 0),
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+    };
+    NAMES.iter().map(member).collect()
+}
+
+/// Three founding members over links that lose, double and reorder; `a` and `b` restart at any moment, `c` never.
+/// The lists that were formed, and whether all ended up with one.
+fn play(seed: u64) -> (Vec<Configuration>, bool) {
+    let mut chance = rand_pcg::Pcg32::seed_from_u64(seed);
+    let mut ids: Vec<MemberId> = NAMES.iter().map(|n| MemberId::new(n, 1)).collect();
+    let mut all: Vec<Founding> = ids.iter().map(|id| Founding::new(0, id.clone(), file())).collect();
+    let (mut formed, mut wire, mut restarts) = (Vec::new(), Vec::<(MemberId, MemberId, Note)>::new(), 0);
+    for now in (0..).step_by(10_000).take(400) {
+        if now < 2_000_000 && chance.next_u32() % 30 == 0 {
+            restarts += 1;
+            let n = (chance.next_u32() % 2) as usize;
+            ids[n] = MemberId::new(NAMES[n], 1 + restarts);
+            all[n] = Founding::new(now, ids[n].clone(), file());
+        }
+        for (n, founding) in all.iter_mut().enumerate() {
+            if chance.next_u32() % 8 == 0 {
+                founding.heard(&ids[(n + 1) % 3], "z");
+                founding.heard(&ids[(n + 2) % 3], "z");
+            }
+            founding.tick(now);
+            for act in founding.ready() {
+                match act {
+                    Act::Send { to, note } => wire.push((ids[n].clone(), to, note)),
+                    Act::Formed(config) => formed.push(config),
+                    Act::Differs(id) => panic!("{id} differs"),
+                }
+            }
+        }
+        for _ in 0..wire.len() {
+            let at = chance.next_u32() as usize % wire.len().max(1);
+            let fate = chance.next_u32() % 8;
+            if wire.is_empty() || fate == 0 {
+                continue;
+            }
+            let (from, to, note) = if fate == 1 { wire[at].clone() } else { wire.swap_remove(at) };
+            if fate > 2 {
+                let to = all.iter_mut().zip(&ids).filter(|(_, id)| **id == to);
+                to.for_each(|(f, _)| f.receive(&from, note.clone()));
+            }
+        }
+    }
+    // Who knows of epoch 1 repeats nothing any more.
+    let whole = all.iter().all(|f| f.due().is_none());
+    (formed, whole)
+}
+
+#[test]
+fn one_list_is_formed_whatever_is_lost_and_whoever_restarts() {
+    let mut late = 0;
+    for seed in 0..2000 {
+        let (formed, whole) = play(seed);
+        assert!(whole, "seed {seed}: not all know of epoch 1");
+        assert!(formed.windows(2).all(|w| w[0] == w[1]), "seed {seed}: {formed:?}");
+        late += usize::from(formed.iter().any(|c| c.member("a").is_some_and(|a| a.id.incarnation > 1)));
+    }
+    assert!(late > 50, "restarts before the founding are among the seeds: {late}");
+}
+
+#[test]
+fn a_member_whose_file_differs_is_told_of_and_founds_nothing() {
+    let mut a = Founding::new(0, MemberId::new("a", 1), file());
+    a.heard(&MemberId::new("b", 1), "z");
+    a.heard(&MemberId::new("c", 1), "elsewhere");
+    assert_eq!(a.ready(), [Act::Differs(MemberId::new("c", 1))]);
+    let (round, over) = (Round::default(), Round::default());
+    let note = Note { kind: Kind::Formed.into(), round, over, lives: Vec::new() };
+    a.receive(&MemberId::new("b", 1), note);
+    assert_eq!(a.ready(), [Act::Differs(MemberId::new("b", 1))]);
+}
--- /dev/null
+++ b/tests/fleet_parts/main.rs
@@ -0,0 +1,6 @@
+//! Pieces of the fleet by themselves.
+mod configuration;
+mod founding;
+mod founding_first;
+mod store;
+mod time;
--- a/src/net/fleet/store_tests.rs
+++ b/tests/fleet_parts/store.rs
@@ -1,10 +1,18 @@
+//! The store of a voter: what was acknowledged is read again, or the file does not open.
 use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 
+use marlgap::fleet::log::{Batch, Hard, Stored};
+use marlgap::net::fleet::store::{Opened, Store, StoreError};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::*;
+fn mark_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".mark");
+    name.into()
+}
 
 struct Dir(PathBuf);
 
@@ -149,7 +157,7 @@
     let mut last = 0;
     for round in 0..12 {
         let mut child = Command::new(std::env::current_exe().expect("this program"))
-            .args(["--exact", "net::fleet::store::tests::writes_until_it_is_killed", "--nocapture"])
+            .args(["--exact", "store::writes_until_it_is_killed", "--nocapture"])
             .env("MARLGAP_STORE_CHILD", &path)
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
--- a/tests/foresight.rs
+++ b/tests/foresight.rs
@@ -1,4 +1,6 @@
 //! Foresight as a whole: a demand, its forecast, and the same traffic played on the topology that was forecast.
+#[path = "foresight/draw.rs"]
+mod drawing;
 #[path = "foresight/files.rs"]
 mod files;
 #[path = "foresight/fleet.rs"]
@@ -7,6 +9,8 @@
 mod merging;
 #[path = "foresight/plans.rs"]
 mod plans;
+#[path = "foresight/sketch.rs"]
+mod sketch;
 
 use fleet::*;
 use marlgap::foresight::{forecast, parse, Limits};
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -1,4 +1,4 @@
-//! What is read from others, by itself: births, frames, HTTP messages, records and hits.
+//! What is read from others, by itself: births, frames, HTTP messages, records, hits and kept outcomes.
 mod common;
 
 use std::net::SocketAddr;
@@ -9,9 +9,11 @@
 use marlgap::core::Clock;
 use marlgap::interface::{Phase, ShardId};
 use marlgap::net::frames::{self, FrameError};
-use marlgap::net::http::{self, HttpError, Kind};
+use marlgap::net::http::{self, Answer, HttpError, Kind};
+use marlgap::net::opensearch::outcome::{self, Spoilt, Text};
 use marlgap::net::opensearch::{merge, query};
 use marlgap::net::records;
+use proptest::prelude::*;
 
 /// Guards against taking one birth for two: the same Unix time is the same on the module's clock.
 #[test]
@@ -107,3 +109,62 @@
     assert_eq!(ids, [Some("d"), Some("a"), Some("e"), Some("b")]);
     assert_eq!((&merged["hits"]["total"], &merged["took"]), (&serde_json::Value::Null, &7.into()));
 }
+
+#[test]
+fn the_time_that_is_left_is_no_part_of_the_text() {
+    for (target, text) in [
+        ("/fields/_search?timeout=900ms", "/fields/_search"),
+        ("/fields/_search?q=a&timeout=1s&size=3", "/fields/_search?q=a&size=3"),
+        ("/fields/_search?q=timeout=1s", "/fields/_search?q=timeout=1s"),
+        ("/fields/_search", "/fields/_search"),
+    ] {
+        assert_eq!(Text::untimed(target), text);
+    }
+}
+
+proptest! {
+    #[test]
+    fn what_was_written_is_read_back(
+        status in 100u16..600,
+        retry_after in proptest::option::of(0.0..1e6f64),
+        target in ".{0,40}",
+        body in proptest::collection::vec(any::<u8>(), 0..80),
+    ) {
+        let answer = Answer { retry_after, ..Answer::new(status, body.clone()) };
+        let read = outcome::decode(&outcome::encode(&answer)).expect("whole");
+        prop_assert_eq!((read.status, read.retry_after, &read.body), (status, retry_after, &body));
+        let text = Text { target: &target, body: &body };
+        let bytes = text.encode();
+        prop_assert_eq!(Text::decode(&bytes), Ok(text));
+    }
+
+    #[test]
+    fn spoilt_bytes_are_told_or_mean_something_else_and_never_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..40),
+    ) {
+        if let Ok(answer) = outcome::decode(&bytes) {
+            prop_assert!((100..600).contains(&answer.status));
+        }
+        if let Ok(text) = Text::decode(&bytes) {
+            prop_assert_eq!(text.encode(), bytes);
+        }
+    }
+}
+
+#[test]
+fn spoilt_bytes_are_an_error() {
+    let error = |bytes: &[u8]| outcome::decode(bytes).err();
+    let whole = outcome::encode(&Answer { retry_after: Some(1.5), ..Answer::new(429, "{}") });
+    assert_eq!(whole, b"\x01\xad\x031.5{}");
+    // Behind the head every length is a body.
+    for cut in 0..6 {
+        assert_eq!(error(&whole[..cut]), Some(Spoilt::Cut), "of {cut} bytes");
+    }
+    assert_eq!(error(b"\0\x63\0"), Some(Spoilt::Status(99)));
+    for wait in [b"\0\xc8\x031.x", b"\0\xc8\x03inf", b"\0\xc8\x03-01", b"\0\xc8\x03\xff\xff\xff"] {
+        assert_eq!(error(wait), Some(Spoilt::RetryAfter));
+    }
+    assert_eq!(Text::decode(b"\0\0\0"), Err(Spoilt::Cut));
+    assert_eq!(Text::decode(b"\0\0\0\x05/a"), Err(Spoilt::Cut));
+    assert_eq!(Text::decode(b"\0\0\0\x01\xff"), Err(Spoilt::Target));
+}
