Give the pairs of files that import each other one direction

Five pairs of files imported each other, so that neither could be read or used alone.

- fleet/work: the bounds of an id and of a record's parts are the record's; message imports it.
- foresight: the bounds of a report are the report's; demand imports it.
- layout: Limits has a file of its own, imported by state and version.
- net/fleet: the queue to one member (outbox) is apart from the connection that empties it (link); a hold asks the machine by a trait (Machine) that the driver implements; the clock has a file of its own.
- net/opensearch: a search from its text to its answer (search) is under both the front's connections and what is protected.

No behaviour changes. No test or assertion was touched.

--- a/src/fleet/work/entry.rs
+++ b/src/fleet/work/entry.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 
-use super::message::{Asked, Body, Told, What, MOST_ID, MOST_PARTS};
+use super::message::{Asked, Body, Told, What};
+use super::record::{MOST_ID, MOST_PARTS};
 use super::slot::Slot;
 use super::{Act, Ask, MemberId, Micros, Reply, Token, WhenFull, WorkId, Works};
 
--- a/src/fleet/work/message.rs
+++ b/src/fleet/work/message.rs
@@ -4,15 +4,10 @@
 use bytes::Bytes;
 use prost::Message as _;
 
-use super::record::Record;
+use super::record::{Record, MOST_ID, MOST_PARTS};
 
 /// The largest message, encoded: a record at its bound and room for what goes with it.
 pub const MOST_BYTES: usize = 1 << 20;
-/// The longest id of a piece of work, in bytes.
-pub const MOST_ID: usize = 128;
-/// Parts of one piece of work at most: far over any query's, and bounded so that a message cannot ask for more memory
-/// than its own size warrants.
-pub const MOST_PARTS: usize = 16_384;
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
--- a/src/fleet/work/record.rs
+++ b/src/fleet/work/record.rs
@@ -1,7 +1,11 @@
 //! What a group holds of one piece of work. It only grows: grants and clearings rise, values and the outcome are set once.
 use bytes::Bytes;
 
-use super::message::{MOST_ID, MOST_PARTS};
+/// The longest id of a piece of work, in bytes.
+pub const MOST_ID: usize = 128;
+/// Parts of one piece of work at most: far over any query's, and bounded so that a message cannot ask for more memory
+/// than its own size warrants.
+pub const MOST_PARTS: usize = 16_384;
 
 /// One piece of work. What `text` and `outcome` hold is the fronts' affair.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
--- a/src/foresight/demand.rs
+++ b/src/foresight/demand.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-use super::report::{Class, Report, Row, SetKey};
+use super::report::{Class, Report, Row, SetKey, MOST_CLASSES, MOST_IN_SET, MOST_SERVERS};
 use super::sketch::{Distinct, Heavy};
 use crate::fleet::MemberId;
 use crate::interface::ReplicaId;
@@ -25,12 +25,6 @@
     pub reports: usize,
 }
 
-/// Most tiles of one set that is kept, and classes and servers that are counted: a class needs two tables of times, and
-/// a longer set is all but a whole district.
-pub const MOST_IN_SET: usize = 64;
-pub const MOST_CLASSES: usize = 64;
-pub const MOST_SERVERS: usize = 4096;
-
 impl Default for Limits {
     fn default() -> Self {
         Limits { window_ms: 60_000, rows: 1024, clients: 256, tiles: 4096, sets: 512, reports: 16 }
--- a/src/layout/mod.rs
+++ b/src/layout/mod.rs
@@ -5,11 +5,13 @@
 //! - [`change`]: what may be changed, and why a change is refused.
 //! - [`version`]: one layout, as a persistent map that shares all but what changed with the one before.
 //! - [`state`]: the state machine that applies the log; the same everywhere.
+//! - [`limits`]: bounds of what is kept.
 //! - [`closed`]: up to when no change can come any more, and who may say so.
 //! - [`route`]: the parts of a query at a time. [`tally`]: its ground through changes, each piece counted once.
 //! - [`wire`]: entries, promises and snapshots as bytes.
 pub mod change;
 pub mod closed;
+pub mod limits;
 pub mod route;
 pub mod state;
 pub mod tally;
@@ -18,8 +20,9 @@
 
 pub use change::{Change, Edit, Entry, History, Piece, PlanError, Refused};
 pub use closed::{Closer, Known, Told};
+pub use limits::Limits;
 pub use route::{At, Part, ReadError, Routed, Source, Which};
-pub use state::{Applied, Guard, Layouts, Lease, Limits};
+pub use state::{Applied, Guard, Layouts, Lease};
 pub use tally::{Request, Share, Tally};
 pub use version::{Keep, Tile, Version};
 pub use wire::WireError;
--- a/src/layout/state.rs
+++ b/src/layout/state.rs
@@ -12,31 +12,13 @@
 use std::sync::Arc;
 
 use super::change::{Change, Entry, Refused};
+use super::limits::Limits;
 use super::version::{add_up, Version};
 use crate::fleet::FleetTime;
 
 /// How far ahead of all that is closed or leased a change may be: a year and a day. One at the end of time would be the last.
 pub const AHEAD_MS: u64 = 366 * 86_400_000;
 
-/// Bounds; each is a typed error when it is reached.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// Versions kept: ten changes a day for a year.
-    pub versions: usize,
-    /// Tiles of a version, those that are gone and still kept among them: ten times the largest planned ground.
-    pub tiles: usize,
-    /// Steps of one change: the entry stays under 1 MiB, a frame between members.
-    pub edits: usize,
-    /// Servers of a tile.
-    pub servers: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits { versions: 4096, tiles: 1 << 20, edits: 16_384, servers: 1024 }
-    }
-}
-
 /// Who may propose changes and say what is closed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Lease {
--- a/src/layout/version.rs
+++ b/src/layout/version.rs
@@ -9,7 +9,7 @@
 use imbl::{OrdMap, OrdSet};
 
 use super::change::{Edit, History, PlanError};
-use super::state::Limits;
+use super::limits::Limits;
 use super::{plus, zero, District, TileId, Weight};
 use crate::fleet::FleetTime;
 use crate::interface::ReplicaId;
--- a/src/layout/version/edit.rs
+++ b/src/layout/version/edit.rs
@@ -6,7 +6,7 @@
 use crate::fleet::FleetTime;
 use crate::interface::ReplicaId;
 use crate::layout::change::{Edit, History, Piece, PlanError};
-use crate::layout::state::Limits;
+use crate::layout::limits::Limits;
 use crate::layout::{less, plus, zero, District, TileId};
 
 impl Version {
--- a/src/layout/wire.rs
+++ b/src/layout/wire.rs
@@ -7,7 +7,8 @@
 use prost::{Message, Oneof};
 
 use super::change::{self, PlanError};
-use super::state::{replay, Layouts, Lease, Limits};
+use super::limits::Limits;
+use super::state::{replay, Layouts, Lease};
 use super::version::{self, Version};
 use super::{District, TileId, Told, Weight};
 use crate::fleet::FleetTime;
--- /dev/null
+++ b/src/net/fleet/clock.rs
@@ -0,0 +1,30 @@
+//! The machine's clocks, as the decisions of the fleet count time.
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::fleet::Micros;
+
+/// Reads the machine's clocks: the wall clock once, at the start.
+pub struct Clock {
+    started: Instant,
+    /// Unix microseconds at the start.
+    pub wall: u64,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
+        Clock { started: Instant::now(), wall: u64::try_from(wall).unwrap_or(u64::MAX).max(1) }
+    }
+
+    pub fn now(&self) -> Micros {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    pub fn unix_ms(&self) -> u64 {
+        self.wall.saturating_add(self.now()) / 1000
+    }
+
+    pub fn at(&self, due: Micros) -> Instant {
+        self.started + Duration::from_micros(due)
+    }
+}
--- a/src/net/fleet/driver.rs
+++ b/src/net/fleet/driver.rs
@@ -6,7 +6,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::Sender;
 use async_io::Timer;
@@ -14,42 +13,17 @@
 use futures_lite::FutureExt;
 use slog::{debug, info, warn, Logger};
 
+use super::clock::Clock;
 use super::frames::{Frame, FrameError, Hello, VERSION};
-use super::hold::{Execute, Hold, Run};
-use super::link::Outbox;
+use super::hold::{Execute, Hold, Machine, Run};
+use super::outbox::Outbox;
 use crate::core::Stop;
 use crate::fleet::found_first::{self, Founding};
-use crate::fleet::work::{Act, Ask, Counts, Key, Reply, Token, Works};
+use crate::fleet::work::{Act, Ask, Counts, Key, May, Reply, Token, Works};
 use crate::fleet::{Configuration, Member, MemberId, Micros};
 use crate::net::Ration;
 use crate::operator::OperatorFleet;
 
-/// Reads the machine's clocks: the wall clock once, at the start.
-struct Clock {
-    started: Instant,
-    /// Unix microseconds at the start.
-    wall: u64,
-}
-
-impl Clock {
-    fn start() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
-        Clock { started: Instant::now(), wall: u64::try_from(wall).unwrap_or(u64::MAX).max(1) }
-    }
-
-    fn now(&self) -> Micros {
-        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
-    }
-
-    fn unix_ms(&self) -> u64 {
-        self.wall.saturating_add(self.now()) / 1000
-    }
-
-    fn at(&self, due: Micros) -> Instant {
-        self.started + Duration::from_micros(due)
-    }
-}
-
 /// The connection that a member's frames are read from: the newest one alone.
 type Reader = (u64, Sender<Infallible>);
 
@@ -155,13 +129,8 @@
         let _ = self.executes.take();
     }
 
-    /// Ask the machine something that changes nothing.
-    pub fn peek<T>(&self, what: impl FnOnce(&Works, Micros) -> T) -> T {
-        what(&self.works.borrow(), self.clock.now())
-    }
-
     /// Hand something to the machine and carry out what it says to that.
-    pub fn work<T>(self: &Rc<Self>, what: impl FnOnce(&mut Works, Micros) -> T) -> T {
+    fn work<T>(self: &Rc<Self>, what: impl FnOnce(&mut Works, Micros) -> T) -> T {
         let given = what(&mut self.works.borrow_mut(), self.clock.now());
         self.carry_out();
         given
@@ -188,12 +157,6 @@
         self.runs.borrow().len()
     }
 
-    /// The last hold on it is gone.
-    pub fn over(&self, key: Key) {
-        self.runs.borrow_mut().remove(&key);
-        self.idle.notify(usize::MAX);
-    }
-
     pub fn hello(&self) -> Vec<u8> {
         let (cluster, name, zone) =
             (self.cluster.to_string(), self.me.name.to_string(), self.zone.to_string());
@@ -333,7 +296,8 @@
         match act {
             Act::Send { to, message } => self.send(&to, &Frame::Work(message)),
             Act::Start { key, record, takeover } => {
-                let run = Run::new(key, Rc::downgrade(self));
+                let machine: Rc<dyn Machine> = self.clone();
+                let run = Run::new(key, Rc::downgrade(&machine));
                 self.runs.borrow_mut().insert(key, Rc::downgrade(&run));
                 debug!(self.log, "protected work begun"; "id" => &record.id, "takeover" => takeover);
                 let front = self.executes.borrow().clone();
@@ -387,3 +351,30 @@
         }
     }
 }
+
+impl Machine for Driver {
+    fn may_send(self: Rc<Self>, key: Key, step: u8, shard: u32, attempt: u8) -> May {
+        self.work(|works, now| works.may_send(now, key, step, shard, attempt))
+    }
+
+    fn holds(&self, key: Key) -> bool {
+        self.works.borrow().holds(self.clock.now(), key)
+    }
+
+    fn cleared(self: Rc<Self>, key: Key, step: u8, shard: u32) {
+        self.work(|works, now| works.cleared(now, key, step, shard));
+    }
+
+    fn value(self: Rc<Self>, key: Key, step: u8, shard: u32, value: Rc<[u8]>, score: f64) {
+        self.work(|works, now| works.value(now, key, step, shard, value, score));
+    }
+
+    fn finish(self: Rc<Self>, key: Key, outcome: Rc<[u8]>) {
+        self.work(|works, now| works.finish(now, key, outcome));
+    }
+
+    fn over(&self, key: Key) {
+        self.runs.borrow_mut().remove(&key);
+        self.idle.notify(usize::MAX);
+    }
+}
--- a/src/net/fleet/hold.rs
+++ b/src/net/fleet/hold.rs
@@ -4,7 +4,6 @@
 
 use event_listener::Event as Wake;
 
-use super::driver::Driver;
 use crate::fleet::work::{Key, May, Record};
 
 /// A front that executes the work of which this process is the owner, from its start or by takeover.
@@ -14,17 +13,34 @@
     fn start(self: Rc<Self>, key: Key, record: Rc<Record>, takeover: bool, hold: Hold);
 }
 
+/// The machine that decides over a piece of work, as a hold asks it. Whoever owns the machine carries out what it says.
+pub(super) trait Machine {
+    fn may_send(self: Rc<Self>, key: Key, step: u8, shard: u32, attempt: u8) -> May;
+
+    /// Changes nothing.
+    fn holds(&self, key: Key) -> bool;
+
+    fn cleared(self: Rc<Self>, key: Key, step: u8, shard: u32);
+
+    fn value(self: Rc<Self>, key: Key, step: u8, shard: u32, value: Rc<[u8]>, score: f64);
+
+    fn finish(self: Rc<Self>, key: Key, outcome: Rc<[u8]>);
+
+    /// The last hold on it is gone.
+    fn over(&self, key: Key);
+}
+
 /// What is kept of a piece of work that this process executes, for as long as a [`Hold`] on it lives.
 pub(super) struct Run {
     key: Key,
-    driver: Weak<Driver>,
+    machine: Weak<dyn Machine>,
     stopped: Cell<bool>,
     wake: Wake,
 }
 
 impl Run {
-    pub(super) fn new(key: Key, driver: Weak<Driver>) -> Rc<Run> {
-        Rc::new(Run { key, driver, stopped: Cell::new(false), wake: Wake::new() })
+    pub(super) fn new(key: Key, machine: Weak<dyn Machine>) -> Rc<Run> {
+        Rc::new(Run { key, machine, stopped: Cell::new(false), wake: Wake::new() })
     }
 
     /// More attempts of one of its parts were granted.
@@ -41,8 +57,8 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
-        if let Some(driver) = self.driver.upgrade() {
-            driver.over(self.key);
+        if let Some(machine) = self.machine.upgrade() {
+            machine.over(self.key);
         }
     }
 }
@@ -69,36 +85,35 @@
             if self.is_stopped() {
                 return false;
             }
-            let Some(driver) = self.0.driver.upgrade() else { return false };
-            match driver.work(|works, now| works.may_send(now, self.0.key, step, shard, attempt)) {
+            let Some(machine) = self.0.machine.upgrade() else { return false };
+            match machine.may_send(self.0.key, step, shard, attempt) {
                 May::Now => return true,
                 May::Never => return false,
                 May::Later => {}
             }
-            drop(driver);
             wake.await;
         }
     }
 
     /// Whether ballot and lease are held at this moment: for the last look before a byte leaves.
     pub fn holds(&self) -> bool {
-        let driver = self.0.driver.upgrade();
-        !self.is_stopped() && driver.is_some_and(|d| d.peek(|works, now| works.holds(now, self.0.key)))
+        let machine = self.0.machine.upgrade();
+        !self.is_stopped() && machine.is_some_and(|m| m.holds(self.0.key))
     }
 
     /// One more attempt of the part is proved never to have run.
     pub fn cleared(&self, step: u8, shard: u32) {
-        self.tell(|driver| driver.work(|works, now| works.cleared(now, self.0.key, step, shard)));
+        self.tell(|machine| machine.cleared(self.0.key, step, shard));
     }
 
     /// The value of a part came in.
     pub fn value(&self, step: u8, shard: u32, value: Rc<[u8]>, score: f64) {
-        self.tell(|driver| driver.work(|works, now| works.value(now, self.0.key, step, shard, value, score)));
+        self.tell(|machine| machine.value(self.0.key, step, shard, value, score));
     }
 
     /// This is the outcome. Whoever waits for it hears of it once it stands with a majority.
     pub fn finish(&self, outcome: Rc<[u8]>) {
-        self.tell(|driver| driver.work(|works, now| works.finish(now, self.0.key, outcome)));
+        self.tell(|machine| machine.finish(self.0.key, outcome));
     }
 
     /// Whether ballot or lease are lost for good: nothing of this work may be sent or answered by this process.
@@ -117,9 +132,9 @@
         }
     }
 
-    fn tell(&self, what: impl FnOnce(&Rc<Driver>)) {
-        if let Some(driver) = self.0.driver.upgrade().filter(|_| !self.is_stopped()) {
-            what(&driver);
+    fn tell(&self, what: impl FnOnce(Rc<dyn Machine>)) {
+        if let Some(machine) = self.0.machine.upgrade().filter(|_| !self.is_stopped()) {
+            what(machine);
         }
     }
 }
--- a/src/net/fleet/link.rs
+++ b/src/net/fleet/link.rs
@@ -1,17 +1,15 @@
-//! The connection that this member dials to another one, on which it writes; what is written waits in a bounded queue.
-use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+//! The connection that this member dials to another one, on which it writes.
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use event_listener::Event as Wake;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use super::driver::Driver;
 use super::frames::{self, Frame, FrameError};
+use super::outbox::Outbox;
 use crate::fleet::MemberId;
 use crate::net::buffer::Buffer;
 use crate::net::by;
@@ -22,68 +20,6 @@
 /// A connect and both hellos together, and one write: who takes longer is no better reached than one that is gone.
 const GREET: Duration = Duration::from_secs(1);
 const WRITE: Duration = Duration::from_secs(5);
-/// Frames are put together up to this for one write.
-const TOGETHER: usize = 64 << 10;
-/// Of the largest frames, so many may wait. Guards the memory: the count alone would let a queue of them grow to a GiB.
-const LARGEST: usize = 8;
-
-/// What waits for one member. What finds no room, or no connection, is dropped: the machines repeat.
-pub struct Outbox {
-    frames: RefCell<VecDeque<Vec<u8>>>,
-    bytes: Cell<usize>,
-    most: usize,
-    most_bytes: usize,
-    /// The life at the other end, while the connection is up.
-    up: RefCell<Option<MemberId>>,
-    wake: Wake,
-    pub dropped: Cell<u64>,
-}
-
-impl Outbox {
-    pub fn new(most: usize, largest: usize) -> Outbox {
-        let (frames, bytes, up, wake, dropped) = Default::default();
-        Outbox { frames, bytes, most, most_bytes: LARGEST * (largest + 4), up, wake, dropped }
-    }
-
-    /// Send to that very life: what was meant for an earlier one never reaches a later one.
-    pub fn send(&self, to: &MemberId, frame: &Frame) {
-        let room = self.frames.borrow().len() < self.most;
-        if !room || self.up.borrow().as_ref() != Some(to) {
-            return self.dropped.set(self.dropped.get() + 1);
-        }
-        let bytes = frame.bytes();
-        if self.bytes.get() + bytes.len() > self.most_bytes {
-            return self.dropped.set(self.dropped.get() + 1);
-        }
-        self.bytes.set(self.bytes.get() + bytes.len());
-        self.frames.borrow_mut().push_back(bytes);
-        self.wake.notify(1);
-    }
-
-    /// Wait for frames and take some.
-    async fn take(&self, out: &mut Vec<u8>) {
-        loop {
-            let wake = self.wake.listen();
-            while let Some(frame) = self.frames.borrow_mut().pop_front() {
-                self.bytes.set(self.bytes.get().saturating_sub(frame.len()));
-                out.extend(frame);
-                if out.len() >= TOGETHER {
-                    break;
-                }
-            }
-            if !out.is_empty() {
-                return;
-            }
-            wake.await;
-        }
-    }
-
-    fn set(&self, up: Option<MemberId>) {
-        self.frames.borrow_mut().clear();
-        self.bytes.set(0);
-        *self.up.borrow_mut() = up;
-    }
-}
 
 /// Keep a connection to the member `name` for good.
 pub async fn keep(driver: Rc<Driver>, name: Rc<str>, address: SocketAddr, outbox: Rc<Outbox>) {
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! A member writes on the connections that it dials and reads from those that it accepts: one each way and pair.
 mod accept;
+mod clock;
 mod driver;
 pub mod frames;
 pub mod hold;
 mod link;
+mod outbox;
 pub mod store;
 
 use std::cell::Cell;
--- a/src/net/opensearch/mod.rs
+++ b/src/net/opensearch/mod.rs
@@ -4,6 +4,7 @@
 pub mod outcome;
 mod protected;
 pub mod query;
+mod search;
 pub mod servers;
 
 use std::rc::Rc;
--- a/src/net/opensearch/protected.rs
+++ b/src/net/opensearch/protected.rs
@@ -9,8 +9,8 @@
 use futures_lite::FutureExt;
 use slog::warn;
 
-use super::front::{error, Front, Ready};
 use super::outcome::{self, Text};
+use super::search::{error, Front, Joined, Ready};
 use super::servers::Notes;
 use crate::core::{Earlier, Gate, Granting, Protection, Value};
 use crate::fleet::work::{Ask, Key, Part, Record, Reply};
@@ -25,12 +25,6 @@
 /// The fleet ends each ask at its client's end. Guards the connection against one that it forgets.
 const FORGOTTEN: Duration = Duration::from_secs(1);
 
-/// What a front needs of the fleet.
-pub(super) struct Joined {
-    fleet: Rc<Fleet>,
-    executor: Rc<LocalExecutor<'static>>,
-}
-
 impl Front {
     /// Ask the fleet for the searches of its protected classes from here on, and execute those that fall to this
     /// member. The first fleet stays.
--- /dev/null
+++ b/src/net/opensearch/search.rs
@@ -0,0 +1,216 @@
+//! A search from its text to its answer, whoever sent it.
+use std::borrow::Cow;
+use std::cell::{OnceCell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use serde_json::{json, Value};
+use slog::{warn, Logger};
+
+use super::merge::{self, Failure, Lacks};
+use super::query::{self, BadQuery, Search};
+use super::servers::{Carried, Notes, Servers};
+use crate::core::{Core, Final, Query};
+use crate::interface::*;
+use crate::net::clients::Closing;
+use crate::net::fleet::Fleet;
+use crate::net::http::Answer;
+use crate::net::Ration;
+use crate::settings::Deployment;
+
+/// An answer that comes this close before the end of its time was cut off by it.
+const END: Duration = Duration::from_millis(60);
+
+pub struct Front {
+    pub core: Rc<Core<Servers>>,
+    pub told: Rc<Deployment>,
+    /// The index of each class, in the order of the classes, where it has one.
+    pub indices: Vec<Option<String>>,
+    pub shards: u32,
+    pub closing: Rc<Closing>,
+    pub log: Logger,
+    pub said: Ration,
+    /// The fleet that it is of, if any.
+    pub(super) joined: OnceCell<Joined>,
+}
+
+/// What a front needs of the fleet.
+pub(super) struct Joined {
+    pub fleet: Rc<Fleet>,
+    pub executor: Rc<LocalExecutor<'static>>,
+}
+
+/// A search that was understood, on its way into the core.
+pub(super) struct Ready {
+    pub search: Rc<Search>,
+    pub notes: Rc<RefCell<Notes>>,
+    pub parts: Vec<ShardId>,
+    pub begun: Instant,
+    pub deadline: Instant,
+    pub query: Query<Carried>,
+}
+
+impl Front {
+    /// A search by its text: the same, whether its client sent it here or to another member of the fleet.
+    pub(super) fn understand(
+        &self,
+        target: &str,
+        body: &[u8],
+        opaque: &str,
+        now: Instant,
+    ) -> Result<Ready, Answer> {
+        let path = path(target);
+        let index = segments(&path).first().copied().unwrap_or_default();
+        let parameters = target.split_once('?').map_or("", |(_, parameters)| parameters);
+        let refuse = |bad: BadQuery| {
+            if let Some(spared) = self.said.line() {
+                warn!(self.log, "unusable search"; "error" => %bad, "spared" => spared);
+            }
+            error(400, bad.kind, &bad.reason)
+        };
+        if index.contains([',', '*']) {
+            let reason = format!("several indices in one search are not supported: [{index}]");
+            return Err(refuse(BadQuery { kind: "illegal_argument_exception", reason }));
+        }
+        let Some(class) = self.indices.iter().position(|i| i.as_deref() == Some(index)) else {
+            return Err(error(404, "index_not_found_exception", &format!("no such index [{index}]")));
+        };
+        let search = Rc::new(query::parse(index, parameters, body).map_err(refuse)?);
+        let parts: Vec<ShardId> = match &search.shards {
+            None => (0..self.shards).map(ShardId).collect(),
+            Some(named) => named.iter().copied().map(ShardId).collect(),
+        };
+        if let Some(none) = parts.iter().find(|s| s.0 >= self.shards) {
+            let reason = format!("[{index}] has no shard [{}]", none.0);
+            return Err(refuse(BadQuery { kind: "illegal_argument_exception", reason }));
+        }
+        let told = &self.told.settings.classes[class];
+        let wait = Duration::try_from_secs_f64(told.deadline).unwrap_or(Duration::MAX);
+        let wait = search.timeout.map_or(wait, |t| t.min(wait));
+        let deadline = now.checked_add(wait).unwrap_or(now + Duration::from_secs(3600));
+        let notes = Rc::new(RefCell::default());
+        let opaque = opaque.to_owned();
+        let (ranked, carried) = (told.second_step > 0, search.clone());
+        let carried = Carried { search: carried, opaque, ranked, notes: Rc::clone(&notes) };
+        let share = 1.0 / parts.len() as f64;
+        let query = Query {
+            class: ClassId(class as u16),
+            tenant: TenantId::NONE,
+            deadline,
+            repeat: false,
+            parts: parts.iter().map(|s| (*s, share)).collect(),
+            carried,
+            protection: None,
+        };
+        Ok(Ready { search, notes, parts, begun: now, deadline, query })
+    }
+
+    /// The answer to a search, from its one final outcome.
+    pub(super) fn ended(
+        &self,
+        search: &Search,
+        outcome: &Final,
+        notes: &Notes,
+        parts: &[ShardId],
+        begun: Instant,
+        deadline: Instant,
+    ) -> Answer {
+        match outcome {
+            Final::Answered { whole, values } => {
+                self.answered(search, values, &lacks(parts, values, notes, *whole), begun)
+            }
+            _ => self.unanswered(search, outcome, notes, parts, deadline),
+        }
+    }
+
+    fn answered(&self, search: &Search, values: &Values, lacks: &Lacks, begun: Instant) -> Answer {
+        if !search.partial && (!lacks.failures.is_empty() || lacks.timed_out) {
+            return shards_failed(search, "Partial shards failure", &lacks.failures, 503);
+        }
+        match merge::merge(search, values, lacks, begun.elapsed().as_millis()) {
+            Some(body) => Answer::new(200, body),
+            None => error(500, "merge_exception", "the answers of the shards could not be put together"),
+        }
+    }
+
+    /// Why there is no answer: time, failures of the servers, or a refusal before anything was asked.
+    fn unanswered(
+        &self,
+        search: &Search,
+        outcome: &Final,
+        notes: &Notes,
+        parts: &[ShardId],
+        deadline: Instant,
+    ) -> Answer {
+        let failures: Vec<_> =
+            parts.iter().filter_map(|s| Some((*s, notes.failures.get(s)?.clone()))).collect();
+        let late = matches!(outcome, Final::Overdue) || Instant::now() + END >= deadline;
+        let retry_after = match outcome {
+            Final::Refused { retry_after } => *retry_after,
+            _ => None,
+        };
+        let answer = match failures.first() {
+            // The servers find fault with the search itself: so it is.
+            Some((_, f)) if f.status == 400 && failures.iter().all(|(_, f)| f.status == 400) => {
+                return error(400, &f.kind, &f.reason)
+            }
+            _ if late => error(504, "timeout_exception", "the search ran out of time"),
+            Some(_) => shards_failed(search, "all shards failed", &failures, 503),
+            None if notes.begun => error(503, "search_phase_execution_exception", "the search failed"),
+            None => return self.refused("the coordinator cannot take the search now"),
+        };
+        Answer { retry_after, ..answer }
+    }
+
+    pub(super) fn refused(&self, reason: &str) -> Answer {
+        let retry_after = self.told.settings.retry_after;
+        Answer { retry_after, ..error(429, "rejected_execution_exception", reason) }
+    }
+}
+
+pub(super) fn path(target: &str) -> Cow<'_, str> {
+    let path = target.split('?').next().unwrap_or_default();
+    percent_encoding::percent_decode_str(path).decode_utf8_lossy()
+}
+
+pub(super) fn segments(path: &str) -> Vec<&str> {
+    path.trim_matches('/').split('/').collect()
+}
+
+type Values = [(ShardId, Rc<[u8]>)];
+
+/// The shards that are not in an answer, and why. One that nothing is known of ran out of time.
+fn lacks(parts: &[ShardId], values: &Values, notes: &Notes, whole: bool) -> Lacks {
+    // After two steps the values are those of the second; a shard was in if it was in the first.
+    let first = notes.first.as_deref();
+    let is_in = |s: &ShardId| match first {
+        Some(first) => first.contains(s),
+        None => values.iter().any(|(shard, _)| shard == s),
+    };
+    let out = parts.iter().filter(|s| !is_in(s));
+    let late = || Failure {
+        node: String::new(),
+        status: 504,
+        kind: "timeout_exception".to_owned(),
+        reason: "no answer in time".to_owned(),
+    };
+    let failure = |s: &ShardId| (*s, notes.failures.get(s).cloned().unwrap_or_else(late));
+    let failures: Vec<_> = out.map(failure).collect();
+    let timed_out = failures.iter().any(|(_, f)| f.status == 504) || (!whole && failures.is_empty());
+    Lacks { total: parts.len(), failures, timed_out }
+}
+
+pub(super) fn error(status: u16, kind: &str, reason: &str) -> Answer {
+    let cause = json!({"type": kind, "reason": reason});
+    let body = json!({"error": {"root_cause": [cause], "type": kind, "reason": reason}, "status": status});
+    Answer::new(status, body.to_string())
+}
+
+fn shards_failed(search: &Search, reason: &str, failures: &[(ShardId, Failure)], status: u16) -> Answer {
+    let failed: Vec<Value> = failures.iter().map(|(s, f)| f.json(&search.index, *s)).collect();
+    let causes: Vec<&Value> = failed.iter().map(|f| &f["reason"]).collect();
+    let body = json!({"error": {"root_cause": causes, "type": "search_phase_execution_exception",
+        "reason": reason, "phase": "query", "grouped": true, "failed_shards": failed}, "status": status});
+    Answer::new(status, body.to_string())
+}
