Name the query API, the fleet's driver and the leader's writes by the field's terms

- net/opensearch: MissingShards (Lacks), deployment (told), log_ration (said).
- net/fleet: the driver's timer_due, timer_changed, last_token, latest_lives, act_on_work, act_on_founding; the clock's started_unix_us; comments in plain terms.
- fleet/work: majority_seq (stands), majority_has_outcome (outcome_stands); comments that said of an outcome or a write that it stands say that a majority holds it.
No assertion changed.

No behaviour changes. What a page, the deploy file or a log line names is as it was.

--- a/src/fleet/work/led.rs
+++ b/src/fleet/work/led.rs
@@ -125,8 +125,8 @@
         }
     }
 
-    /// The highest place in the row of writes that stands with a majority.
-    pub fn stands(&self) -> u64 {
+    /// The sequence number of the last write that a majority holds.
+    pub fn majority_seq(&self) -> u64 {
         let mut seqs: Vec<u64> = self.votes.iter().map(|v| v.seq).collect();
         seqs.sort_unstable_by(|a, b| b.cmp(a));
         seqs.get(majority(seqs.len()) - 1).copied().unwrap_or(0)
@@ -182,12 +182,12 @@
         }
     }
 
-    /// Notes the grants that stand, and gives those that somebody waits for, if the lease holds.
+    /// Notes the grants that a majority holds, and gives those that are waited for, if the lease holds.
     pub fn granted(&mut self, holds: bool) -> Vec<(u8, u32, u8)> {
-        let stands = self.stands();
+        let majority_seq = self.majority_seq();
         let mut granted = Vec::new();
         for ((step, shard), state) in &mut self.parts {
-            if let Some((_, n)) = state.pending.filter(|(seq, _)| *seq <= stands) {
+            if let Some((_, n)) = state.pending.filter(|(seq, _)| *seq <= majority_seq) {
                 (state.stable, state.pending) = (n, None);
             }
             if holds && state.waits > 0 && state.stable >= state.waits {
--- a/src/fleet/work/message.rs
+++ b/src/fleet/work/message.rs
@@ -6,7 +6,7 @@
 
 use super::record::{Record, MOST_ID, MOST_PARTS};
 
-/// The largest message, encoded: a record at its bound and room for what goes with it.
+/// The largest message, encoded: a record at its bound, and its envelope.
 pub const MOST_BYTES: usize = 1 << 20;
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -161,8 +161,8 @@
     pub record: Option<Record>,
 }
 
-/// No to an accept or a prepare under `ballot`: another is promised, a lease lives for `wait_us` more, or there is no
-/// room here.
+/// No to an accept or a prepare under `ballot`: another is promised, a lease lasts for `wait_us` more, or this
+/// member is full.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Rejected {
     #[prost(uint64, tag = "1")]
@@ -179,7 +179,7 @@
     pub full: bool,
 }
 
-/// What stands with a majority and never changes any more.
+/// An outcome that a majority holds: it never changes.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Decided {
     #[prost(uint64, tag = "1")]
@@ -223,7 +223,7 @@
     /// It has a record of it, and has sealed nothing.
     #[prost(bool, tag = "3")]
     pub exists: bool,
-    /// It has no room to remember that, and has sealed nothing.
+    /// It is full, and has sealed nothing.
     #[prost(bool, tag = "4")]
     pub full: bool,
 }
--- a/src/fleet/work/owner.rs
+++ b/src/fleet/work/owner.rs
@@ -18,15 +18,15 @@
 
     pub(super) fn advance_lead(&mut self, work: &WorkId) {
         let Some(led) = self.led.get(work) else { return };
-        let (holds, stands) = (self.led_holds(led, self.now), led.stands());
+        let (holds, majority_seq) = (self.led_holds(led, self.now), led.majority_seq());
         let record_first = self.guards.record_first;
-        let outcome_stands = led.outcome_at.is_some_and(|at| at <= stands)
+        let majority_has_outcome = led.outcome_at.is_some_and(|at| at <= majority_seq)
             || !self.guards.outcome_first && led.outcome_at.is_some();
         let now = self.now;
         let Some(led) = self.led.get_mut(work) else { return };
         led.held = if holds { now } else { led.held };
         let key = led.key;
-        if !led.started && !led.record.over() && (stands >= led.first || !record_first) {
+        if !led.started && !led.record.over() && (majority_seq >= led.first || !record_first) {
             led.started = true;
             self.keys.insert(key, work.clone());
             let start = Act::Start { key, record: Rc::new(led.record.clone()), takeover: led.takeover };
@@ -36,7 +36,7 @@
             self.acts.push(Act::Granted { key, step, shard, granted });
         }
         // Invariant: what is told stood with a majority before, and the ballot still holds.
-        if outcome_stands && holds {
+        if majority_has_outcome && holds {
             let (outcome, failed) = (led.record.outcome.clone().unwrap_or_default(), led.record.failed);
             let (group, opened) = (Rc::clone(&led.group), led.record.opened);
             // Told once.
@@ -157,7 +157,7 @@
                 None => self.lose(&work),
             },
             Phase::Lead if led.hopeless(|v| v.rejected) => match next {
-                // Nothing was begun, so it may still ask what stands.
+                // Nothing was begun, so it may still ask what a majority holds.
                 Some(ballot) if !led.started && led.seed.is_some() => {
                     led.prepare(ballot);
                     self.say_again(&work);
--- a/src/fleet/work/record.rs
+++ b/src/fleet/work/record.rs
@@ -60,7 +60,7 @@
 }
 
 impl Record {
-    /// Has it an outcome?
+    /// Whether it has an outcome.
     pub fn over(&self) -> bool {
         self.failed || self.outcome.is_some()
     }
@@ -105,7 +105,7 @@
         }
     }
 
-    /// The room that it takes, in bytes; 64 for each part's figures.
+    /// The memory that it takes, in bytes; 64 for each part's figures.
     pub(super) fn bytes(&self) -> usize {
         let values: usize = self.parts.iter().map(|p| 64 + p.value.as_ref().map_or(0, Bytes::len)).sum();
         self.id.len() + self.text.len() + self.outcome.as_ref().map_or(0, Bytes::len) + values + 256
--- a/src/net/fleet/clock.rs
+++ b/src/net/fleet/clock.rs
@@ -3,17 +3,17 @@
 
 use crate::fleet::Micros;
 
-/// Reads the machine's clocks: the wall clock once, at the start.
+/// Reads the machine's clocks; the started_unix_us clock only once, at the start.
 pub struct Clock {
     started: Instant,
     /// Unix microseconds at the start.
-    pub wall: u64,
+    pub started_unix_us: u64,
 }
 
 impl Clock {
     pub fn start() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
-        Clock { started: Instant::now(), wall: u64::try_from(wall).unwrap_or(u64::MAX).max(1) }
+        let unix_us = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
+        Clock { started: Instant::now(), started_unix_us: u64::try_from(unix_us).unwrap_or(u64::MAX).max(1) }
     }
 
     pub fn now(&self) -> Micros {
@@ -21,7 +21,7 @@
     }
 
     pub fn unix_ms(&self) -> u64 {
-        self.wall.saturating_add(self.now()) / 1000
+        self.started_unix_us.saturating_add(self.now()) / 1000
     }
 
     pub fn at(&self, due: Micros) -> Instant {
--- a/src/net/fleet/driver.rs
+++ b/src/net/fleet/driver.rs
@@ -1,4 +1,4 @@
-//! Owns the machines of this member: hands them what comes in, with the time, and carries out what they say.
+//! Owns the state machines of this member: passes them events with the time, and carries out their actions.
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
@@ -38,29 +38,29 @@
     founding: RefCell<Founding>,
     config: RefCell<Option<Configuration>>,
     /// The latest life of each name that was seen.
-    lives: RefCell<BTreeMap<Rc<str>, u64>>,
+    latest_lives: RefCell<BTreeMap<Rc<str>, u64>>,
     readers: RefCell<BTreeMap<Rc<str>, Reader>>,
     outboxes: BTreeMap<Rc<str>, Rc<Outbox>>,
-    /// Reached, as told last.
+    /// Whether each member is reached, as last reported.
     alive: RefCell<BTreeMap<Rc<str>, bool>>,
     waiting: RefCell<HashMap<Token, Sender<Reply>>>,
     runs: RefCell<HashMap<Key, Weak<Run>>>,
     executes: RefCell<Option<Rc<dyn Execute>>>,
-    tokens: Cell<Token>,
-    /// What the machines say is being carried out further up.
+    last_token: Cell<Token>,
+    /// Actions are being carried out further up the stack.
     busy: Cell<bool>,
-    /// When the timer rings, and what sets it anew.
-    rings: Cell<Option<Micros>>,
-    ring: Wake,
+    /// When the timer runs out, and what makes it be set anew.
+    timer_due: Cell<Option<Micros>>,
+    timer_changed: Wake,
     pub idle: Wake,
     log: Logger,
-    said: Ration,
+    log_ration: Ration,
 }
 
 impl Driver {
     pub fn new(setup: &OperatorFleet, log: Logger) -> Rc<Driver> {
         let clock = Clock::start();
-        let me = MemberId::new(&setup.name, clock.wall);
+        let me = MemberId::new(&setup.name, clock.started_unix_us);
         let works = Works::new(me.clone(), setup.rules.clone(), setup.limits.clone());
         let founding = Founding::new(clock.now(), me.clone(), setup.members.clone());
         let others = setup.members.iter().filter(|m| m.id.name != me.name);
@@ -74,20 +74,20 @@
             works: RefCell::new(works),
             founding: RefCell::new(founding),
             config: RefCell::default(),
-            lives: RefCell::new([(me.name.clone(), me.incarnation)].into()),
+            latest_lives: RefCell::new([(me.name.clone(), me.incarnation)].into()),
             readers: RefCell::default(),
             outboxes: others.map(outbox).collect(),
             alive: RefCell::default(),
             waiting: RefCell::default(),
             runs: RefCell::default(),
             executes: RefCell::default(),
-            tokens: Cell::new(0),
+            last_token: Cell::new(0),
             busy: Cell::new(false),
-            rings: Cell::new(None),
-            ring: Wake::new(),
+            timer_due: Cell::new(None),
+            timer_changed: Wake::new(),
             idle: Wake::new(),
             log,
-            said: Ration::default(),
+            log_ration: Ration::default(),
             me,
         })
     }
@@ -116,7 +116,7 @@
         self.works.borrow().counts()
     }
 
-    /// Frames that found no room or no connection.
+    /// Frames that were dropped: their queue was full, or there was no connection.
     pub fn dropped(&self) -> u64 {
         self.outboxes.values().map(|o| o.dropped.get()).sum()
     }
@@ -129,7 +129,7 @@
         let _ = self.executes.take();
     }
 
-    /// Hand something to the machine and carry out what it says to that.
+    /// Pass an event to the machine and carry out the actions that follow.
     fn work<T>(self: &Rc<Self>, what: impl FnOnce(&mut Works, Micros) -> T) -> T {
         let given = what(&mut self.works.borrow_mut(), self.clock.now());
         self.carry_out();
@@ -138,14 +138,14 @@
 
     /// A client's ask; its reply comes by `reply`.
     pub fn submit(self: &Rc<Self>, ask: Ask, reply: Sender<Reply>) -> Token {
-        let (token, unix_ms) = (self.tokens.get() + 1, self.clock.unix_ms());
-        self.tokens.set(token);
+        let (token, unix_ms) = (self.last_token.get() + 1, self.clock.unix_ms());
+        self.last_token.set(token);
         self.waiting.borrow_mut().insert(token, reply);
         self.work(|works, now| works.submit(now, unix_ms, token, ask));
         token
     }
 
-    /// That client waits no more.
+    /// That client no longer waits.
     pub fn leave(self: &Rc<Self>, token: Token) {
         if self.waiting.borrow_mut().remove(&token).is_some() {
             self.work(|works, _| works.leave(token));
@@ -170,22 +170,22 @@
         if id.name == self.me.name {
             return Err(FrameError::Name(hello.name.clone()));
         }
-        let seen = self.lives.borrow().get(&id.name).copied().unwrap_or_default();
+        let seen = self.latest_lives.borrow().get(&id.name).copied().unwrap_or_default();
         if id.incarnation < seen {
             return Err(FrameError::Outlived(id.to_string()));
         }
         if id.incarnation > seen {
-            self.lives.borrow_mut().insert(id.name.clone(), id.incarnation);
+            self.latest_lives.borrow_mut().insert(id.name.clone(), id.incarnation);
             // A later life takes the name over: what an earlier one still says is read no more.
             self.readers.borrow_mut().remove(&id.name);
         }
         Ok(id)
     }
 
-    /// Its frames come over a new connection; the stop tells when over yet another one.
+    /// Its frames come over a new connection from now on; the stop reports when yet another one takes its place.
     pub fn reads(&self, id: &MemberId) -> Stop {
         let (send, stop) = Stop::new();
-        let latest = self.lives.borrow().get(&id.name) == Some(&id.incarnation);
+        let latest = self.latest_lives.borrow().get(&id.name) == Some(&id.incarnation);
         if latest {
             self.readers.borrow_mut().insert(id.name.clone(), (id.incarnation, send));
         }
@@ -219,8 +219,11 @@
         if self.alive.borrow_mut().insert(name.clone(), false) == Some(true) {
             info!(self.log, "fleet member lost"; "member" => &**name, "error" => %why);
         }
-        let id =
-            self.lives.borrow().get(name).map(|life| MemberId { name: name.clone(), incarnation: *life });
+        let id = self
+            .latest_lives
+            .borrow()
+            .get(name)
+            .map(|life| MemberId { name: name.clone(), incarnation: *life });
         let listed = || self.config.borrow().as_ref().and_then(|c| c.member(name)).map(|m| m.id.clone());
         if let Some(id) = id.or_else(listed) {
             self.work(|works, now| works.rumour(now, &id, false));
@@ -237,41 +240,41 @@
     }
 
     fn warn(&self, what: &'static str, peer: &dyn fmt::Display, why: &dyn fmt::Display) {
-        if let Some(spared) = self.said.line() {
+        if let Some(spared) = self.log_ration.line() {
             warn!(self.log, "{}", what; "peer" => %peer, "error" => %why, "spared" => spared);
         }
     }
 
-    /// Ring the machines' bell for good.
+    /// Run the timers of the machines for good.
     pub async fn tick(self: Rc<Self>) {
-        // A fleet of one is founded as it is made: nothing else would ring for it.
+        // A fleet of one is founded as it is made: no event would follow.
         self.carry_out();
         loop {
-            let ring = self.ring.listen();
+            let changed = self.timer_changed.listen();
             let (works, founding) = (self.works.borrow().due(), self.founding.borrow().due());
             let due = works.into_iter().chain(founding).min();
-            self.rings.set(due);
+            self.timer_due.set(due);
             if due.is_none_or(|due| due > self.clock.now()) {
-                let rung = async {
+                let elapsed = async {
                     match due {
                         Some(due) => drop(Timer::at(self.clock.at(due)).await),
                         None => std::future::pending().await,
                     }
                 };
-                ring.or(rung).await;
+                changed.or(elapsed).await;
                 continue;
             }
             let (now, unix_ms) = (self.clock.now(), self.clock.unix_ms());
             self.founding.borrow_mut().tick(now);
             self.works.borrow_mut().tick(now, unix_ms);
             self.carry_out();
-            // Guards the others on this thread against a bell that is due again and again.
+            // Guards the other tasks of this thread against a timer that is due again and again.
             futures_lite::future::yield_now().await;
         }
     }
 
-    /// Do what the machines say, until they say no more. What is called from here and comes back with news only leaves
-    /// it to this loop: acts are carried out in their order.
+    /// Carry out the machines' actions until there are no more. A call from here that brings further events only leaves
+    /// them to this loop: actions are carried out in their order.
     fn carry_out(self: &Rc<Self>) {
         if self.busy.replace(true) {
             return;
@@ -282,17 +285,17 @@
             if acts.is_empty() && founding.is_empty() {
                 break;
             }
-            founding.into_iter().for_each(|act| self.found(act));
-            acts.into_iter().for_each(|act| self.act(act));
+            founding.into_iter().for_each(|act| self.act_on_founding(act));
+            acts.into_iter().for_each(|act| self.act_on_work(act));
         }
         self.busy.set(false);
         let due = self.works.borrow().due();
-        if due.is_some_and(|due| self.rings.get().is_none_or(|rings| due < rings)) {
-            self.ring.notify(1);
+        if due.is_some_and(|due| self.timer_due.get().is_none_or(|set| due < set)) {
+            self.timer_changed.notify(1);
         }
     }
 
-    fn act(self: &Rc<Self>, act: Act) {
+    fn act_on_work(self: &Rc<Self>, act: Act) {
         match act {
             Act::Send { to, message } => self.send(&to, &Frame::Work(message)),
             Act::Start { key, record, takeover } => {
@@ -327,7 +330,7 @@
         self.runs.borrow().get(&key).and_then(Weak::upgrade)
     }
 
-    fn found(&self, act: found_first::Act) {
+    fn act_on_founding(&self, act: found_first::Act) {
         match act {
             found_first::Act::Send { to, note } => self.send(&to, &Frame::Founding(note)),
             found_first::Act::Formed(config) => {
--- a/src/net/fleet/hold.rs
+++ b/src/net/fleet/hold.rs
@@ -1,4 +1,4 @@
-//! What a front that executes protected work is handed: the work, and a hold on it.
+//! What a front that executes protected work is given: the work, and a hold on it.
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 
@@ -48,7 +48,7 @@
         self.wake.notify(usize::MAX);
     }
 
-    /// Its ballot or lease is lost for good.
+    /// Its ballot or lease is lost and does not come back.
     pub(super) fn stop(&self) {
         self.stopped.set(true);
         self.wake.notify(usize::MAX);
@@ -63,8 +63,8 @@
     }
 }
 
-/// A piece of work in the hand of this process. Copies stand for the same work; with the last one the front says that
-/// it will do no more of it.
+/// A piece of work that this process executes. Copies refer to the same work; dropping the last one says that the front
+/// will do no more of it.
 #[derive(Clone)]
 pub struct Hold(Rc<Run>);
 
@@ -77,8 +77,8 @@
         self.0.key
     }
 
-    /// Whether attempt `attempt` (from 0, counted over all owners) of a part may be sent; waits until that stands
-    /// with a majority. `false`: never, by this process.
+    /// Whether attempt `attempt` (from 0, counted over all owners) of a part may be sent; waits until a majority
+    /// holds that. `false`: never, by this process.
     pub async fn may_send(&self, step: u8, shard: u32, attempt: u8) -> bool {
         loop {
             let wake = self.0.wake.listen();
@@ -111,7 +111,7 @@
         self.tell(|machine| machine.value(self.0.key, step, shard, value, score));
     }
 
-    /// This is the outcome. Whoever waits for it hears of it once it stands with a majority.
+    /// This is the outcome. It is answered once a majority holds it.
     pub fn finish(&self, outcome: Rc<[u8]>) {
         self.tell(|machine| machine.finish(self.0.key, outcome));
     }
--- a/src/net/fleet/outbox.rs
+++ b/src/net/fleet/outbox.rs
@@ -12,7 +12,8 @@
 /// Of the largest frames, so many may wait. Guards the memory: the count alone would let a queue of them grow to a GiB.
 const LARGEST: usize = 8;
 
-/// What waits for one member. What finds no room, or no connection, is dropped: the machines repeat.
+/// Frames that wait for one member. Those for which the queue is full or there is no connection are dropped: the
+/// machines repeat.
 pub struct Outbox {
     frames: RefCell<VecDeque<Vec<u8>>>,
     bytes: Cell<usize>,
@@ -32,8 +33,8 @@
 
     /// Send to that very life: what was meant for an earlier one never reaches a later one.
     pub fn send(&self, to: &MemberId, frame: &Frame) {
-        let room = self.frames.borrow().len() < self.most;
-        if !room || self.up.borrow().as_ref() != Some(to) {
+        let has_place = self.frames.borrow().len() < self.most;
+        if !has_place || self.up.borrow().as_ref() != Some(to) {
             return self.dropped.set(self.dropped.get() + 1);
         }
         let bytes = frame.bytes();
--- a/src/net/opensearch/merge.rs
+++ b/src/net/opensearch/merge.rs
@@ -100,8 +100,8 @@
     Ok(reply.hits.max_score.unwrap_or(0.0))
 }
 
-/// What is known of the shards that an answer lacks.
-pub struct Lacks {
+/// What is known of the shards that are not in an answer.
+pub struct MissingShards {
     pub total: usize,
     pub failures: Vec<(ShardId, Failure)>,
     pub timed_out: bool,
@@ -111,7 +111,7 @@
 pub fn merge(
     search: &Search,
     values: &[(ShardId, Rc<[u8]>)],
-    lacks: &Lacks,
+    missing: &MissingShards,
     took_ms: u128,
 ) -> Option<String> {
     let mut ranked: Vec<(Rank, ShardId, usize, &RawValue)> = Vec::new();
@@ -134,10 +134,10 @@
     ranked.sort_by(|a, b| order(search, &a.0, &b.0).then((a.1, a.2).cmp(&(b.1, b.2))));
     let page = ranked.into_iter().skip(search.from as usize).take(search.size as usize);
     let hits: Vec<&RawValue> = page.map(|(.., hit)| hit).collect();
-    let failures: Vec<Value> = lacks.failures.iter().map(|(s, f)| f.json(&search.index, *s)).collect();
+    let failures: Vec<Value> = missing.failures.iter().map(|(s, f)| f.json(&search.index, *s)).collect();
     let failed = failures.len();
     let mut shards =
-        json!({"total": lacks.total, "successful": lacks.total - failed, "skipped": 0, "failed": failed});
+        json!({"total": missing.total, "successful": missing.total - failed, "skipped": 0, "failed": failed});
     if failed > 0 {
         shards["failures"] = Value::Array(failures);
     }
@@ -149,7 +149,7 @@
     // Put together as text: the hits go out as the servers wrote them.
     Some(format!(
         "{{\"took\":{took_ms},\"timed_out\":{},\"_shards\":{shards},\"hits\":{{{total}\"max_score\":{},\"hits\":{}}}}}",
-        lacks.timed_out,
+        missing.timed_out,
         json!(max_score),
         serde_json::to_string(&hits).ok()?
     ))
--- a/src/net/opensearch/mod.rs
+++ b/src/net/opensearch/mod.rs
@@ -29,15 +29,15 @@
     closing: &Rc<Closing>,
     log: &Logger,
 ) -> Result<Rc<Front>, StartError> {
-    let QueryApi { source, indices, shards, told, .. } = setup;
-    let servers = Servers::new(told.sockets, descriptors, log.clone());
-    let settings = told.settings.clone();
-    let core = Core::new(settings, seed, told.max_open, executor.clone(), servers.clone())
+    let QueryApi { source, indices, shards, told: deployment, .. } = setup;
+    let servers = Servers::new(deployment.sockets, descriptors, log.clone());
+    let settings = deployment.settings.clone();
+    let core = Core::new(settings, seed, deployment.max_open, executor.clone(), servers.clone())
         .map_err(StartError::Settings)?;
-    let (core_of, zones) = (core.clone(), told.zones.clone());
+    let (core_of, zones) = (core.clone(), deployment.zones.clone());
     let watch = Watch::begin(core_of, servers, zones, source, "query API", log.clone());
     executor.spawn(core.clone().run()).detach();
     executor.spawn(watch.map_err(StartError::Source)?.run()).detach();
-    let (closing, log, (said, joined)) = (closing.clone(), log.clone(), Default::default());
-    Ok(Rc::new(Front { core, told, indices, shards, closing, log, said, joined }))
+    let (closing, log, (log_ration, joined)) = (closing.clone(), log.clone(), Default::default());
+    Ok(Rc::new(Front { core, deployment, indices, shards, closing, log, log_ration, joined }))
 }
--- a/src/net/opensearch/protected.rs
+++ b/src/net/opensearch/protected.rs
@@ -126,7 +126,7 @@
     }
 
     fn spoilt(&self, what: &'static str, error: &outcome::Spoilt) {
-        if let Some(spared) = self.said.line() {
+        if let Some(spared) = self.log_ration.line() {
             warn!(self.log, "{}", what; "error" => %error, "spared" => spared);
         }
     }
--- a/src/net/opensearch/search.rs
+++ b/src/net/opensearch/search.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 use slog::{warn, Logger};
 
-use super::merge::{self, Failure, Lacks};
+use super::merge::{self, Failure, MissingShards};
 use super::query::{self, BadQuery, Search};
 use super::servers::{Carried, Notes, Servers};
 use crate::core::{Core, Final, Query};
@@ -24,14 +24,14 @@
 
 pub struct Front {
     pub core: Rc<Core<Servers>>,
-    pub told: Rc<Deployment>,
+    pub deployment: Rc<Deployment>,
     /// The index of each class, in the order of the classes, where it has one.
     pub indices: Vec<Option<String>>,
     pub shards: u32,
     pub closing: Rc<Closing>,
     pub log: Logger,
-    pub said: Ration,
-    /// The fleet that it is of, if any.
+    pub log_ration: Ration,
+    /// The fleet that it belongs to, if any.
     pub(super) joined: OnceCell<Joined>,
 }
 
@@ -64,7 +64,7 @@
         let index = segments(&path).first().copied().unwrap_or_default();
         let parameters = target.split_once('?').map_or("", |(_, parameters)| parameters);
         let refuse = |bad: BadQuery| {
-            if let Some(spared) = self.said.line() {
+            if let Some(spared) = self.log_ration.line() {
                 warn!(self.log, "unusable search"; "error" => %bad, "spared" => spared);
             }
             error(400, bad.kind, &bad.reason)
@@ -85,13 +85,13 @@
             let reason = format!("[{index}] has no shard [{}]", none.0);
             return Err(refuse(BadQuery { kind: "illegal_argument_exception", reason }));
         }
-        let told = &self.told.settings.classes[class];
-        let wait = Duration::try_from_secs_f64(told.deadline).unwrap_or(Duration::MAX);
+        let class_settings = &self.deployment.settings.classes[class];
+        let wait = Duration::try_from_secs_f64(class_settings.deadline).unwrap_or(Duration::MAX);
         let wait = search.timeout.map_or(wait, |t| t.min(wait));
         let deadline = now.checked_add(wait).unwrap_or(now + Duration::from_secs(3600));
         let notes = Rc::new(RefCell::default());
         let opaque = opaque.to_owned();
-        let (ranked, carried) = (told.second_step > 0, search.clone());
+        let (ranked, carried) = (class_settings.second_step > 0, search.clone());
         let carried = Carried { search: carried, opaque, ranked, notes: Rc::clone(&notes) };
         let share = 1.0 / parts.len() as f64;
         let query = Query {
@@ -118,17 +118,17 @@
     ) -> Answer {
         match outcome {
             Final::Answered { whole, values } => {
-                self.answered(search, values, &lacks(parts, values, notes, *whole), begun)
+                self.answered(search, values, &missing_shards(parts, values, notes, *whole), begun)
             }
             _ => self.unanswered(search, outcome, notes, parts, deadline),
         }
     }
 
-    fn answered(&self, search: &Search, values: &Values, lacks: &Lacks, begun: Instant) -> Answer {
-        if !search.partial && (!lacks.failures.is_empty() || lacks.timed_out) {
-            return shards_failed(search, "Partial shards failure", &lacks.failures, 503);
+    fn answered(&self, search: &Search, values: &Values, missing: &MissingShards, begun: Instant) -> Answer {
+        if !search.partial && (!missing.failures.is_empty() || missing.timed_out) {
+            return shards_failed(search, "Partial shards failure", &missing.failures, 503);
         }
-        match merge::merge(search, values, lacks, begun.elapsed().as_millis()) {
+        match merge::merge(search, values, missing, begun.elapsed().as_millis()) {
             Some(body) => Answer::new(200, body),
             None => error(500, "merge_exception", "the answers of the shards could not be put together"),
         }
@@ -164,7 +164,7 @@
     }
 
     pub(super) fn refused(&self, reason: &str) -> Answer {
-        let retry_after = self.told.settings.retry_after;
+        let retry_after = self.deployment.settings.retry_after;
         Answer { retry_after, ..error(429, "rejected_execution_exception", reason) }
     }
 }
@@ -181,14 +181,14 @@
 type Values = [(ShardId, Rc<[u8]>)];
 
 /// The shards that are not in an answer, and why. One that nothing is known of ran out of time.
-fn lacks(parts: &[ShardId], values: &Values, notes: &Notes, whole: bool) -> Lacks {
+fn missing_shards(parts: &[ShardId], values: &Values, notes: &Notes, whole: bool) -> MissingShards {
     // After two steps the values are those of the second; a shard was in if it was in the first.
     let first = notes.first.as_deref();
-    let is_in = |s: &ShardId| match first {
+    let answered = |s: &ShardId| match first {
         Some(first) => first.contains(s),
         None => values.iter().any(|(shard, _)| shard == s),
     };
-    let out = parts.iter().filter(|s| !is_in(s));
+    let out = parts.iter().filter(|s| !answered(s));
     let late = || Failure {
         node: String::new(),
         status: 504,
@@ -198,7 +198,7 @@
     let failure = |s: &ShardId| (*s, notes.failures.get(s).cloned().unwrap_or_else(late));
     let failures: Vec<_> = out.map(failure).collect();
     let timed_out = failures.iter().any(|(_, f)| f.status == 504) || (!whole && failures.is_empty());
-    Lacks { total: parts.len(), failures, timed_out }
+    MissingShards { total: parts.len(), failures, timed_out }
 }
 
 pub(super) fn error(status: u16, kind: &str, reason: &str) -> Answer {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -101,8 +101,8 @@
     assert!(merge::check(one.as_bytes(), true, 2).is_ok());
     assert!(merge::check(one.as_bytes(), true, 1).is_err(), "not in this order");
     let values = [(ShardId(0), Rc::from(one.as_bytes())), (ShardId(1), Rc::from(two.as_bytes()))];
-    let lacks = merge::Lacks { total: 2, failures: Vec::new(), timed_out: false };
-    let merged = merge::merge(&search, &values, &lacks, 7).expect("merged");
+    let missing = merge::MissingShards { total: 2, failures: Vec::new(), timed_out: false };
+    let merged = merge::merge(&search, &values, &missing, 7).expect("merged");
     let merged: serde_json::Value = serde_json::from_str(&merged).expect("JSON");
     let ids: Vec<_> =
         merged["hits"]["hits"].as_array().expect("hits").iter().map(|h| h["_id"].as_str()).collect();
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -13,7 +13,7 @@
 use marlgap::net::descriptors::Descriptors;
 use marlgap::net::nodes::{Carried, Entry, Nodes};
 
-fn told(node: SocketAddr) -> marlgap::settings::Deployment {
+fn deployment(node: SocketAddr) -> marlgap::settings::Deployment {
     // A folder each: tests run side by side.
     let folder = configure(&format!("parts{}", node.port()), &[node], node, 1, 75);
     let config = std::fs::read_to_string(folder.join("config.json")).expect("read");
@@ -22,7 +22,7 @@
 }
 
 /// Descriptors of which so many are for connections to data nodes.
-fn room(connections: usize) -> Rc<Descriptors> {
+fn descriptors(connections: usize) -> Rc<Descriptors> {
     Rc::new(Descriptors::new(2 * connections))
 }
 
@@ -35,7 +35,7 @@
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let nodes = Nodes::new(told(address), room(8), executor.clone(), log);
+    let nodes = Nodes::new(deployment(address), descriptors(8), executor.clone(), log);
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -63,8 +63,12 @@
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
     // One connection, of 32 places.
-    let nodes =
-        Nodes::new(told(address), room(1), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes = Nodes::new(
+        deployment(address),
+        descriptors(1),
+        executor.clone(),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    );
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -114,8 +118,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
-    let nodes =
-        Nodes::new(told(address), room(8), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes = Nodes::new(
+        deployment(address),
+        descriptors(8),
+        executor.clone(),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    );
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -146,15 +154,15 @@
     assert!(next.as_ref().is_some_and(|f| f.starts_with("q a1.3 ")), "{next:?}");
 }
 
-/// Guards a fleet of more data nodes than there is room for connections: those met last got no part at all.
+/// Guards a fleet of more data nodes than connections may be open: those met last got no part at all.
 #[test]
 fn the_longest_idle_connection_makes_way_for_one_to_another_data_node() {
     let executor = Rc::new(LocalExecutor::new());
     let listeners: Vec<_> = (0..12).map(|_| TcpListener::bind("127.0.0.1:0").expect("bound")).collect();
     let addresses: Vec<_> = listeners.iter().map(|l| l.local_addr().expect("bound")).collect();
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let nodes = Nodes::new(told(addresses[0]), room(4), executor.clone(), log);
-    let stands = listeners.into_iter().map(|listener| {
+    let nodes = Nodes::new(deployment(addresses[0]), descriptors(4), executor.clone(), log);
+    let servers = listeners.into_iter().map(|listener| {
         std::thread::spawn(move || {
             let mut stream = listener.accept().expect("accepted").0;
             while read_frame(&mut stream).is_some() {
@@ -162,7 +170,7 @@
             }
         })
     });
-    let stands: Vec<_> = stands.collect();
+    let servers: Vec<_> = servers.collect();
     for (n, address) in addresses.iter().enumerate() {
         let entry = Entry { name: format!("n{n}"), address: *address, phase: Phase::Ready, born: 0 };
         let replica = nodes.list(&entry);
@@ -173,10 +181,10 @@
         assert_eq!(ended.outcome, Outcome::Served, "data node {n}");
     }
     // All but the last four were closed: their stand-ins have seen the end.
-    stands.into_iter().take(8).for_each(|s| s.join().expect("ran"));
+    servers.into_iter().take(8).for_each(|s| s.join().expect("ran"));
 }
 
-/// Guards the clients' room: connections to data nodes never take it, and take what clients leave.
+/// Guards the clients' share: connections to data nodes never take it, and take what clients leave.
 #[test]
 fn each_side_has_descriptors_that_the_other_cannot_take() {
     let shared = Descriptors::new(16);
@@ -195,8 +203,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
-    let nodes =
-        Nodes::new(told(address), room(8), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes = Nodes::new(
+        deployment(address),
+        descriptors(8),
+        executor.clone(),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    );
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let deadline = Instant::now() + PATIENCE;
@@ -231,8 +243,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
     let executor = Rc::new(LocalExecutor::new());
-    let nodes =
-        Nodes::new(told(address), room(8), executor.clone(), slog::Logger::root(slog::Discard, slog::o!()));
+    let nodes = Nodes::new(
+        deployment(address),
+        descriptors(8),
+        executor.clone(),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    );
     let replica = nodes.list(&Entry { name: "n0".to_owned(), address, phase: Phase::Ready, born: 0 });
     let carried = Rc::new(Carried::new("a1".to_owned(), b"hi".to_vec()));
     let ask = |shard, wait| {
@@ -291,7 +307,7 @@
 fn data_nodes_long_gone_are_forgotten_and_their_numbers_never_given_again() {
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let nodes = Nodes::new(told(address), room(8), Rc::new(LocalExecutor::new()), log);
+    let nodes = Nodes::new(deployment(address), descriptors(8), Rc::new(LocalExecutor::new()), log);
     let list = |n: u32, phase| nodes.list(&Entry { name: format!("n{n}"), address, phase, born: 0 });
     let first: Vec<_> = (0..3).map(|n| list(n, Phase::Ready)).collect();
     nodes.keep_only(&first[1..].iter().copied().collect());
@@ -310,11 +326,11 @@
 fn a_send_that_waits_on_a_connect_is_stopped_by_a_drain_or_a_new_life() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
-    let told = told(address);
+    let deployment = deployment(address);
     for (phase, born) in [(Phase::Draining, 0), (Phase::Gone, 0), (Phase::Ready, 7)] {
         let executor = Rc::new(LocalExecutor::new());
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let nodes = Nodes::new(told.clone(), room(8), executor.clone(), log);
+        let nodes = Nodes::new(deployment.clone(), descriptors(8), executor.clone(), log);
         let entry = |phase, born| Entry { name: "n0".to_owned(), address, phase, born };
         let replica = nodes.list(&entry(Phase::Ready, 0));
         assert_eq!(replica, ReplicaId(1));
