Name zones and the drawn servers of a forecast by the field's terms

The forecast called a zone a room and the servers that parts are drawn from "on".

- ZoneLoad and zone (RoomLoad and room) in the forecast; the document that operators read keeps its keys `room` and `rooms` (serde).
- draw: Placement with zones (On with home), Load::present (there), CONVERGED, MOST_ROUNDS.

No behaviour changes; the renamed test's assertions are the same.

--- a/src/foresight/forecast/draw.rs
+++ b/src/foresight/forecast/draw.rs
@@ -2,16 +2,16 @@
 //! one with the shorter queue, as the module does where nothing else speaks against one of them.
 //!
 //! Mean field: queues are taken as independent, each a birth-death chain whose arrivals depend on its own length
-//! through the chance that the other one drawn is longer. Iterated until loads stand still. An even split over holders
+//! through the chance that the other one drawn is longer. Iterated until loads change no more. An even split over holders
 //! is off by tens in 100 where a busy tile shares a server with idle ones; this is not (see the simulated fleets).
 use std::collections::BTreeMap;
 
 /// Lengths of a queue that are told apart. At a load of 0.95, an unguided queue is longer once in 5 draws, and one that
 /// is drawn by two nearly never.
 const LEVELS: usize = 32;
-/// Loads that move by less than this share stand still; rounds at most.
-const STILL: f64 = 1e-3;
-const ROUNDS: usize = 60;
+/// The iteration has converged when loads move by less than this share; rounds at most.
+const CONVERGED: f64 = 1e-3;
+const MOST_ROUNDS: usize = 60;
 
 /// Parts a second by what they may be drawn from.
 #[derive(Clone, Debug, Default)]
@@ -20,11 +20,11 @@
     pairs: BTreeMap<(u32, u32), f64>,
 }
 
-/// What a server gets: parts a second, and parts there on average, the ones at work included.
+/// What a server gets: parts a second, and parts that it has on average, the ones at work included.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     pub rate: f64,
-    pub there: f64,
+    pub present: f64,
 }
 
 impl Draws {
@@ -45,19 +45,19 @@
     }
 
     /// The load of each server, with all rates times `factor`. A server that is not among them counts for nothing.
-    pub fn settle(&self, on: &On, factor: f64) -> Vec<Load> {
-        let own = own_of(on.deciders);
-        let mut queues = vec![Queue::default(); on.capacity.len()];
-        let mut arrivals = vec![[0.0; LEVELS]; on.capacity.len()];
-        let mut loads = vec![Load::default(); on.capacity.len()];
-        // Of two in different rooms, one that is as short is taken by whoever shares its room.
-        let home = |n: u32| on.home.get(n as usize).copied().unwrap_or_default();
-        let tie = |a: u32, b: u32| match (home(a), home(b)) {
+    pub fn settle(&self, placement: &Placement, factor: f64) -> Vec<Load> {
+        let own = own_queue_lengths(placement.deciders);
+        let mut queues = vec![Queue::default(); placement.capacity.len()];
+        let mut arrivals = vec![[0.0; LEVELS]; placement.capacity.len()];
+        let mut loads = vec![Load::default(); placement.capacity.len()];
+        // Of two in different zones with equal queues, each is taken by the coordinators of its own zone.
+        let zone_of = |n: u32| placement.zones.get(n as usize).copied().unwrap_or_default();
+        let tie = |a: u32, b: u32| match (zone_of(a), zone_of(b)) {
             ((one, _), (other, _)) if one == other => 0.5,
             ((_, one), (_, other)) => 0.5 + 0.5 * (one - other),
         };
         let ties: Vec<f64> = self.pairs.keys().map(|(a, b)| tie(*a, *b)).collect();
-        for _ in 0..ROUNDS {
+        for _ in 0..MOST_ROUNDS {
             arrivals.iter_mut().for_each(|a| *a = [0.0; LEVELS]);
             for (server, rate) in &self.alone {
                 if let Some(of) = arrivals.get_mut(*server as usize) {
@@ -75,15 +75,15 @@
                     { of.iter_mut() }.zip(wins).for_each(|(a, (l, s))| *a += rate * factor * (l + tie * s));
                 }
             }
-            let mut moved: f64 = 0.0;
+            let mut most_moved: f64 = 0.0;
             for (((queue, arrivals), capacity), load) in
-                queues.iter_mut().zip(&arrivals).zip(&on.capacity).zip(&mut loads)
+                queues.iter_mut().zip(&arrivals).zip(&placement.capacity).zip(&mut loads)
             {
                 let new = queue.step(arrivals, *capacity, &own);
-                moved = moved.max((new.rate - load.rate).abs() / new.rate.max(f64::MIN_POSITIVE));
+                most_moved = most_moved.max((new.rate - load.rate).abs() / new.rate.max(f64::MIN_POSITIVE));
                 *load = new;
             }
-            if moved < STILL {
+            if most_moved < CONVERGED {
                 break;
             }
         }
@@ -91,20 +91,20 @@
     }
 }
 
-/// What the parts are drawn on, and by whom.
+/// The servers that parts are drawn from, and who draws.
 #[derive(Clone, Debug)]
-pub struct On {
+pub struct Placement {
     /// Parts a second that each server gets done at most.
     pub capacity: Vec<f64>,
-    /// Each server's room, and that room's share of the parts' coordinators.
-    pub home: Vec<(u8, f64)>,
+    /// Each server's zone, and that zone's share of the parts' coordinators.
+    pub zones: Vec<(u8, f64)>,
     /// Coordinators among whom the parts are shared out, each of whom sees its own alone; 1 where servers report
     /// their whole queue.
     pub deciders: u32,
 }
 
 /// Chance that of a queue of each length so many are one's own: binomial, since whose a part is is chance.
-fn own_of(deciders: u32) -> Vec<[f64; LEVELS]> {
+fn own_queue_lengths(deciders: u32) -> Vec<[f64; LEVELS]> {
     let p = 1.0 / f64::from(deciders.max(1));
     let mut all = Vec::with_capacity(LEVELS);
     let mut row = [0.0; LEVELS];
@@ -153,7 +153,7 @@
         for (length, (((at, new), arrives), own)) in each {
             *at = 0.5 * (*at + new / all);
             load.rate += *at * arrives;
-            load.there += *at * length as f64;
+            load.present += *at * length as f64;
             self.same.iter_mut().zip(own).for_each(|(s, p)| *s += *at * p);
         }
         let mut longer = 1.0;
--- a/src/foresight/forecast/fanout.rs
+++ b/src/foresight/forecast/fanout.rs
@@ -1,4 +1,4 @@
-//! What one query becomes: parts, attempts, servers and rooms, by class and district.
+//! What one query becomes: parts, attempts, servers and zones, by class and district.
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
@@ -57,7 +57,8 @@
     /// Mean attempts: parts times what a part of this class took so far.
     pub attempts: Range,
     pub servers: Spread,
-    pub rooms: Spread,
+    #[serde(rename = "rooms")]
+    pub zones: Spread,
     pub parts_before: f64,
     /// Share of the queries whose set of tiles is known.
     pub known: f64,
@@ -66,41 +67,41 @@
 /// Where one topology puts things.
 struct Places<'a> {
     holders: &'a [Vec<u32>],
-    rooms: Vec<u8>,
+    zones: Vec<u8>,
 }
 
 impl Places<'_> {
-    /// Parts, expected different servers and rooms of a query for these tiles, each part on one of its holders.
+    /// Parts, expected different servers and zones of a query for these tiles, each part on one of its holders.
     fn query(&self, tiles: &[usize]) -> (f64, f64, f64) {
-        let (mut servers, mut rooms) = (BTreeMap::<u32, f64>::new(), BTreeMap::<u8, f64>::new());
+        let (mut servers, mut zones) = (BTreeMap::<u32, f64>::new(), BTreeMap::<u8, f64>::new());
         for holders in tiles.iter().filter_map(|n| self.holders.get(*n)) {
             let each = 1.0 / holders.len().max(1) as f64;
-            let mut in_room = BTreeMap::<u8, f64>::new();
+            let mut in_zone = BTreeMap::<u8, f64>::new();
             for h in holders {
                 *servers.entry(*h).or_insert(1.0) *= 1.0 - each;
-                let room = self.rooms.get(*h as usize).copied().unwrap_or_default();
-                *in_room.entry(room).or_default() += each;
+                let zone = self.zones.get(*h as usize).copied().unwrap_or_default();
+                *in_zone.entry(zone).or_default() += each;
             }
-            for (room, share) in in_room {
-                *rooms.entry(room).or_insert(1.0) *= (1.0 - share).max(0.0);
+            for (zone, share) in in_zone {
+                *zones.entry(zone).or_insert(1.0) *= (1.0 - share).max(0.0);
             }
         }
         let hit = |none: &f64| 1.0 - none;
-        (tiles.len() as f64, servers.values().map(hit).sum(), rooms.values().map(hit).sum())
+        (tiles.len() as f64, servers.values().map(hit).sum(), zones.values().map(hit).sum())
     }
 
     /// The same for `parts` tiles of these, whichever.
     fn some(&self, tiles: &[usize], parts: f64) -> (f64, f64, f64) {
-        let (mut servers, mut rooms) = (BTreeMap::<u32, f64>::new(), BTreeMap::<u8, f64>::new());
+        let (mut servers, mut zones) = (BTreeMap::<u32, f64>::new(), BTreeMap::<u8, f64>::new());
         for holders in tiles.iter().filter_map(|n| self.holders.get(*n)) {
             let each = 1.0 / (holders.len().max(1) * tiles.len().max(1)) as f64;
             for h in holders {
                 *servers.entry(*h).or_default() += each;
-                *rooms.entry(self.rooms.get(*h as usize).copied().unwrap_or_default()).or_default() += each;
+                *zones.entry(self.zones.get(*h as usize).copied().unwrap_or_default()).or_default() += each;
             }
         }
         let hit = |share: &f64| 1.0 - (1.0 - share.min(1.0)).powf(parts);
-        (parts, servers.values().map(hit).sum(), rooms.values().map(hit).sum())
+        (parts, servers.values().map(hit).sum(), zones.values().map(hit).sum())
     }
 }
 
@@ -117,7 +118,7 @@
     attempts: &BTreeMap<u16, f64>,
 ) -> Vec<FanOut> {
     let holders = to.holders();
-    let places = Places { holders: &holders, rooms: to.servers().iter().map(|s| s.room.0).collect() };
+    let places = Places { holders: &holders, zones: to.servers().iter().map(|s| s.room.0).collect() };
     let before = base.districts();
     let grown = |n: usize| successors.get(n).map_or(0, |s| s.len()) as f64;
     let mut sets: BTreeMap<Key, Vec<Count<'_>>> = BTreeMap::new();
@@ -169,7 +170,7 @@
             mean_parts,
             attempts: mean_parts.times(attempts.get(class).copied().unwrap_or(1.0)),
             servers: spread(|q| q.1),
-            rooms: spread(|q| q.2),
+            zones: spread(|q| q.2),
             parts_before: (row.parts as f64 + row.whole as f64 * old.len() as f64) / all.max(1.0),
             known: (1.0 - rest / all.max(1.0)).clamp(0.0, 1.0),
         });
--- a/src/foresight/forecast/load.rs
+++ b/src/foresight/forecast/load.rs
@@ -1,17 +1,18 @@
-//! Load by server, room and coordinator.
+//! Load by server, zone and coordinator.
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
 use super::asked::{rate, ByTile, Districts};
-use super::draw::{Draws, Load, On};
+use super::draw::{Draws, Load, Placement};
 use super::{Given, Range, Unknown};
 use crate::foresight::{Demand, Topology};
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ServerLoad {
     pub server: u64,
-    pub room: u8,
+    #[serde(rename = "room")]
+    pub zone: u8,
     /// Attempts a second. The range is that of the tiles it holds, widened by [`Fit::off`](super::Fit::off).
     pub parts_s: Range,
     /// Its share of all attempts: what holds whatever the day's traffic comes to.
@@ -23,8 +24,9 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct RoomLoad {
-    pub room: u8,
+pub struct ZoneLoad {
+    #[serde(rename = "room")]
+    pub zone: u8,
     pub servers: usize,
     pub parts_s: Range,
 }
@@ -123,7 +125,7 @@
     pub(super) holders: Vec<Vec<u32>>,
     /// Attempts a second and their work on each tile.
     pub(super) parts: Vec<Range>,
-    on: On,
+    placement: Placement,
     draws: Draws,
     pub(super) loads: Vec<Load>,
     /// Work, in seconds a second, and attempts of each server were its tiles split evenly.
@@ -178,22 +180,22 @@
                 }
             }
         }
-        let in_room = |room: u8| given.coordinators.values().filter(|z| z.0 == room).count() as f64;
+        let coordinators_in = |zone: u8| given.coordinators.values().filter(|z| z.0 == zone).count() as f64;
         let all = given.coordinators.len().max(1) as f64;
         let capacity =
             |(s, (even, work)): (&crate::foresight::Server, (&Range, &Range))| match told && work.mid > 0.0 {
                 true => s.capacity * even.mid / work.mid,
                 false => f64::INFINITY,
             };
-        let on = On {
+        let placement = Placement {
             capacity: to.servers().iter().zip(even.iter().zip(&even_work)).map(capacity).collect(),
-            home: to.servers().iter().map(|s| (s.room.0, in_room(s.room.0) / all)).collect(),
+            zones: to.servers().iter().map(|s| (s.room.0, coordinators_in(s.room.0) / all)).collect(),
             deciders: match given.queues_told {
                 true => 1,
                 false => u32::try_from(given.coordinators.len()).unwrap_or(u32::MAX),
             },
         };
-        let loads = draws.settle(&on, 1.0);
+        let loads = draws.settle(&placement, 1.0);
         let (mut all, mut share, mut most) = (0.0, 0.0, 1.0);
         for (part, cut) in parts.iter().zip(&cut) {
             all += part.mid;
@@ -203,7 +205,7 @@
             }
         }
         let grown = (share / f64::max(all, f64::MIN_POSITIVE), most);
-        Loads { to, demand, given, holders, parts, on, draws, loads, even_work, even, told, grown }
+        Loads { to, demand, given, holders, parts, placement, draws, loads, even_work, even, told, grown }
     }
 
     pub fn grown(&self) -> (f64, f64) {
@@ -219,7 +221,7 @@
             let before = old.to.server(s.id).and_then(|n| old.loads.get(n)).map_or(0.0, |l| l.rate);
             ServerLoad {
                 server: s.id.0,
-                room: s.room.0,
+                zone: s.room.0,
                 parts_s: even.times(scale).give(off),
                 share: load.rate / all.max(f64::MIN_POSITIVE),
                 busy: self.told.then(|| work.times(scale / s.capacity).give(off)),
@@ -234,15 +236,15 @@
         self.loads.iter().map(|l| l.rate).sum()
     }
 
-    /// A room's range is that of its servers together, without the model's: what one of them gets less of, its
+    /// A zone's range is that of its servers together, without the model's: what one of them gets less of, its
     /// neighbours get.
-    pub fn rooms(&self, servers: &[ServerLoad]) -> Vec<RoomLoad> {
-        let mut out: BTreeMap<u8, RoomLoad> = BTreeMap::new();
+    pub fn zones(&self, servers: &[ServerLoad]) -> Vec<ZoneLoad> {
+        let mut out: BTreeMap<u8, ZoneLoad> = BTreeMap::new();
         for s in servers {
-            let none = RoomLoad { room: s.room, servers: 0, parts_s: Range::default() };
-            let room = out.entry(s.room).or_insert(none);
-            room.servers += 1;
-            room.parts_s = room.parts_s.plus(s.parts_s);
+            let none = ZoneLoad { zone: s.zone, servers: 0, parts_s: Range::default() };
+            let zone = out.entry(s.zone).or_insert(none);
+            zone.servers += 1;
+            zone.parts_s = zone.parts_s.plus(s.parts_s);
         }
         out.into_values().collect()
     }
@@ -253,21 +255,21 @@
         let sum = self.parts.iter().fold(Range::default(), |sum, p| sum.plus(*p));
         let takes = |loads: &[Load]| {
             let rate: f64 = loads.iter().map(|l| l.rate).sum();
-            loads.iter().map(|l| l.there).sum::<f64>() / rate.max(f64::MIN_POSITIVE)
+            loads.iter().map(|l| l.present).sum::<f64>() / rate.max(f64::MIN_POSITIVE)
         };
-        let at = |end: f64| takes(&self.draws.settle(&self.on, end / sum.mid.max(f64::MIN_POSITIVE)));
+        let at = |end: f64| takes(&self.draws.settle(&self.placement, end / sum.mid.max(f64::MIN_POSITIVE)));
         let mid = takes(&self.loads);
         Range { low: at(sum.low).min(mid), mid, high: at(sum.high).max(mid) }
     }
 
     /// The same at the server where it is longest.
     pub fn longest(&self) -> f64 {
-        let takes = self.loads.iter().filter(|l| l.rate > 0.0).map(|l| l.there / l.rate);
+        let takes = self.loads.iter().filter(|l| l.rate > 0.0).map(|l| l.present / l.rate);
         takes.fold(0.0, f64::max)
     }
 
-    /// Each coordinator's load, and the share of attempts that go to another room than its own. `mid` takes the holders
-    /// of a district's tiles as drawn evenly; `low` has each part in its own room where one of its holders is, `high`
+    /// Each coordinator's load, and the share of attempts that go to another zone than its own. `mid` takes the holders
+    /// of a district's tiles as drawn evenly; `low` has each part in its own zone where one of its holders is, `high`
     /// in another one.
     pub fn coordinators(
         &self,
@@ -276,22 +278,22 @@
     ) -> (Vec<CoordinatorLoad>, Range) {
         let words = self.to.servers().len().div_ceil(64);
         let mut reach: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
-        let mut rooms: BTreeMap<u32, BTreeMap<u8, Range>> = BTreeMap::new();
+        let mut zones: BTreeMap<u32, BTreeMap<u8, Range>> = BTreeMap::new();
         for district in self.demand.rows.keys().map(|(_, d)| *d).collect::<BTreeSet<_>>() {
             let (mut set, tiles) = (vec![0u64; words], districts.tiles(district));
-            let here = rooms.entry(district).or_default();
+            let here = zones.entry(district).or_default();
             for holders in tiles.iter().filter_map(|n| self.holders.get(*n)) {
                 let mut counts = BTreeMap::<u8, usize>::new();
                 for h in holders {
                     if let Some(word) = set.get_mut(*h as usize / 64) {
                         *word |= 1 << (h % 64);
                     }
-                    *counts.entry(self.on.home.get(*h as usize).map_or(0, |h| h.0)).or_default() += 1;
+                    *counts.entry(self.placement.zones.get(*h as usize).map_or(0, |h| h.0)).or_default() += 1;
                 }
-                for (room, n) in counts {
+                for (zone, n) in counts {
                     let only = if n == holders.len() { 1.0 } else { 0.0 };
                     let share = Range { low: only, mid: n as f64 / holders.len() as f64, high: 1.0 };
-                    let sum = here.entry(room).or_default();
+                    let sum = here.entry(zone).or_default();
                     *sum = sum.plus(share.times(1.0 / tiles.len().max(1) as f64));
                 }
             }
@@ -313,8 +315,8 @@
                 parts = parts.plus(per_s);
                 let d = reach.get(district).map_or(&[][..], |d| d);
                 set.iter_mut().zip(d).for_each(|(a, b)| *a |= b);
-                if let Some(room) = self.given.coordinators.get(name) {
-                    let own = rooms.get(district).and_then(|r| r.get(&room.0)).copied().unwrap_or_default();
+                if let Some(zone) = self.given.coordinators.get(name) {
+                    let own = zones.get(district).and_then(|r| r.get(&zone.0)).copied().unwrap_or_default();
                     let out = Range { low: 1.0 - own.high, mid: 1.0 - own.mid, high: 1.0 - own.low };
                     away = away.plus(out.times(count));
                     all += count;
--- a/src/foresight/forecast/mod.rs
+++ b/src/foresight/forecast/mod.rs
@@ -13,9 +13,9 @@
 use serde::Serialize;
 
 pub use change::{Change, Cold};
-pub use draw::{Draws, Load, On};
+pub use draw::{Draws, Load, Placement};
 pub use fanout::{FanOut, Spread};
-pub use load::{CoordinatorLoad, RoomLoad, Seen, ServerLoad};
+pub use load::{CoordinatorLoad, Seen, ServerLoad, ZoneLoad};
 
 use super::{Coverage, Demand, Range, Topology};
 use crate::balance::stretch;
@@ -35,7 +35,7 @@
     pub cold: Option<ColdRule>,
     /// Servers of the base that are cold now; those that the base does not have are cold in any case.
     pub cold_now: BTreeSet<ReplicaId>,
-    /// Coordinators and their rooms.
+    /// Coordinators and their zones.
     pub coordinators: BTreeMap<Rc<str>, ZoneId>,
     /// Connections of a coordinator to one server at most.
     pub connections: usize,
@@ -103,9 +103,10 @@
     /// Attempts a second on the base, over all its servers.
     pub before: f64,
     pub fit: Fit,
-    pub rooms: Vec<RoomLoad>,
+    #[serde(rename = "rooms")]
+    pub zones: Vec<ZoneLoad>,
     pub coordinators: Vec<CoordinatorLoad>,
-    /// Share of parts that go to another room than their coordinator's.
+    /// Share of parts that go to another zone than their coordinator's.
     pub across: Range,
     pub change: Change,
     pub lateness: Vec<Lateness>,
@@ -194,7 +195,7 @@
         unknowns.push(Unknown::Overloaded { servers: over });
     }
     let coverage = demand.coverage.clone();
-    let rooms = new.rooms(&servers);
+    let zones = new.zones(&servers);
     Ok(Forecast {
         base: base.version(),
         coverage,
@@ -202,7 +203,7 @@
         servers,
         before: old.sum(),
         fit,
-        rooms,
+        zones,
         coordinators,
         across,
         change,
--- a/tests/foresight/draw.rs
+++ b/tests/foresight/draw.rs
@@ -1,5 +1,5 @@
 //! Loads of servers from which parts are drawn.
-use marlgap::foresight::forecast::{Draws, On};
+use marlgap::foresight::forecast::{Draws, Placement};
 
 #[test]
 fn no_part_is_lost_and_the_busy_server_gets_the_lesser_share() {
@@ -7,13 +7,13 @@
     draws.add(&[0, 1], 60.0);
     draws.add(&[1], 60.0);
     draws.add(&[0, 1, 2], 30.0);
-    let on = On { capacity: vec![100.0; 3], home: vec![(0, 1.0); 3], deciders: 1 };
-    let loads = draws.settle(&on, 1.0);
+    let placement = Placement { capacity: vec![100.0; 3], zones: vec![(0, 1.0); 3], deciders: 1 };
+    let loads = draws.settle(&placement, 1.0);
     let sum: f64 = loads.iter().map(|l| l.rate).sum();
     assert!((sum / 150.0 - 1.0).abs() < 0.01, "{loads:?}");
     assert!(loads[1].rate < 60.0 + 0.45 * 80.0, "under its even share: {loads:?}");
-    let twice = draws.settle(&on, 2.0);
-    assert!(twice[1].there > 3.0 * loads[1].there, "queues grow faster than loads");
-    let blind = draws.settle(&On { deciders: 1000, ..on }, 1.0);
+    let twice = draws.settle(&placement, 2.0);
+    assert!(twice[1].present > 3.0 * loads[1].present, "queues grow faster than loads");
+    let blind = draws.settle(&Placement { deciders: 1000, ..placement }, 1.0);
     assert!((blind[1].rate / (60.0 + 30.0 + 10.0) - 1.0).abs() < 0.01, "nobody sees a queue: {blind:?}");
 }
