Say in plain terms what the touched files' comments keep and sort

Comments of the files that were split or moved still had words of the earlier house style (stands, room, whom). Comments alone: the code is the same.

--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -10,7 +10,7 @@
 /// Groups are small: more guards cost every query a message and make no majority safer than this.
 pub const MOST_GUARDS: usize = 5;
 
-/// Who counts, as agreed. Members stand in the order of their names, one life of each.
+/// The members that count, as agreed: sorted by name, one life of each.
 ///
 /// Invariant: two configurations of one epoch are equal. It holds because an epoch is the place of its entry in the one
 /// replicated log.
--- a/src/fleet/time.rs
+++ b/src/fleet/time.rs
@@ -123,7 +123,7 @@
     }
 }
 
-/// What a member holds of its own clock.
+/// What a member knows of its own clock's offset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     /// No majority of the others was measured yet.
@@ -143,7 +143,7 @@
     at: Micros,
 }
 
-/// How the others' clocks stand to ours, by request and answer (Cristian, "Probabilistic clock synchronization", 1989).
+/// The offsets of the others' clocks from ours, by request and answer (Cristian, "Probabilistic clock synchronization", 1989).
 ///
 /// Samples are kept against our monotonic clock, so that a step of our own wall clock shows at once, also while we
 /// are cut off; with age they widen by the drift of both. What is not certainly beyond counts as within.
@@ -174,12 +174,12 @@
         self.samples.insert(member.clone(), sample);
     }
 
-    /// Forget who counts no more.
+    /// Forget the members that no longer count.
     pub fn keep(&mut self, counts: impl Fn(&MemberId) -> bool) {
         self.samples.retain(|member, _| counts(member));
     }
 
-    /// How we stand against `others` members that count beside us.
+    /// Our standing against `others` further members that count.
     pub fn standing(&self, now: Micros, unix_ms: u64, others: usize) -> Standing {
         if self.samples.len() * 2 <= others {
             return Standing::Unknown;
--- a/src/foresight/demand.rs
+++ b/src/foresight/demand.rs
@@ -1,5 +1,4 @@
-//! What one coordinator keeps of what is asked of it: bounded tables for the window that is open, and a report of
-//! each window that is over.
+//! The demand on one coordinator: bounded tables for the open window, and a report of each window that is over.
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -45,7 +44,7 @@
     pub class: u16,
     pub district: u32,
     pub asks: Asks<'a>,
-    /// A number that stands for the client, where a route names one.
+    /// A number that identifies the client, where a route names one.
     pub client: Option<u64>,
     pub bytes: u64,
     /// It was asked before: by its client again, or of the coordinator that it was taken over from. It counts as a
@@ -92,7 +91,7 @@
     }
 }
 
-/// An entry of a bounded table: one that is there, or a new one while there is room.
+/// An entry of a bounded table: an existing one, or a new one while the table is not full.
 fn within<K: Ord, V: Default>(map: &mut BTreeMap<K, V>, key: K, most: usize) -> Option<&mut V> {
     if map.len() >= most && !map.contains_key(&key) {
         return None;
--- a/src/foresight/report/wire.rs
+++ b/src/foresight/report/wire.rs
@@ -109,7 +109,7 @@
     Some(out)
 }
 
-/// The rows of a table: keys ascend, so that none stands twice.
+/// The rows of a table: keys ascend, so that none occurs twice.
 fn rows<const N: usize>(
     table: Option<TableWire>,
     field: &'static str,
--- a/src/foresight/sketch.rs
+++ b/src/foresight/sketch.rs
@@ -66,7 +66,7 @@
 }
 
 impl Distinct {
-    /// `hash` is any number that stands for one client alone.
+    /// `hash` is any number that identifies one client.
     pub fn add(&mut self, hash: u64) {
         // The finisher of SplitMix64: numbers that were never hashed would else fill one register.
         let mut z = hash.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/src/layout/state.rs
+++ b/src/layout/state.rs
@@ -2,9 +2,9 @@
 //! log gives one state on every member, since nothing else goes in.
 //!
 //! Invariants:
-//! - versions stand in the order of (time from which they are valid, place in the log);
+//! - versions are sorted by (time from which they are valid, place in the log);
 //! - **no change is accepted at or before `closed`**, and `closed` never falls. Kept here, at apply, everywhere alike:
-//!   whoever proposed it, and whatever it believed, is of no account;
+//!   who proposed it, and what it believed, does not matter;
 //! - when another life takes the lease, all that the one before may have said to be closed is closed: `until` of a
 //!   lease bounds that, and never falls. No clock takes part in this;
 //! - a refused entry changes nothing but the place in the log.
--- a/src/net/fleet/store.rs
+++ b/src/net/fleet/store.rs
@@ -1,4 +1,4 @@
-//! What a voter must not forget, on disk: its disk's number, how far founding is, votes, entries and the snapshot.
+//! What a voter keeps on disk: its disk's number, how far founding is, votes, entries and the snapshot.
 //!
 //! One file by `redb`, each batch one durable transaction; and beside it, in `FILE.mark`, the number of the last batch
 //! that was acknowledged. `redb` keeps two commits and goes back to the earlier one when the later does not check: after
@@ -227,7 +227,7 @@
             return Err(StoreError::WentBack { file, mark: acknowledged });
         }
         if file > acknowledged {
-            // It ended between the two: what was not acknowledged may stand as well as not.
+            // It ended between the two writes: what was not acknowledged may be kept or not.
             write_mark(&store.mark, file)?;
         }
         Ok((store, opened))
