--- a/src/fleet/work/record.rs
+++ b/src/fleet/work/record.rs
@@ -1,7 +1,11 @@
 //! What a group holds of one piece of work. It only grows: grants and clearings rise, values and the outcome are set once.
 use bytes::Bytes;
 
-use super::message::{MOST_ID, MOST_PARTS};
+/// The longest id of a piece of work, in bytes.
+pub const MOST_ID: usize = 128;
+/// Parts of one piece of work at most: far over any query's, and bounded so that a message cannot ask for more memory
+/// than its own size warrants.
+pub const MOST_PARTS: usize = 16_384;
 
 /// One piece of work. What `text` and `outcome` hold is the fronts' affair.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
@@ -56,7 +60,7 @@
 }
 
 impl Record {
-    /// Has it an outcome?
+    /// Whether it has an outcome.
     pub fn over(&self) -> bool {
         self.failed || self.outcome.is_some()
     }
@@ -101,7 +105,7 @@
         }
     }
 
-    /// The room that it takes, in bytes; 64 for each part's figures.
+    /// The memory that it takes, in bytes; 64 for each part's figures.
     pub(super) fn bytes(&self) -> usize {
         let values: usize = self.parts.iter().map(|p| 64 + p.value.as_ref().map_or(0, Bytes::len)).sum();
         self.id.len() + self.text.len() + self.outcome.as_ref().map_or(0, Bytes::len) + values + 256
--- a/src/foresight/demand.rs
+++ b/src/foresight/demand.rs
@@ -1,9 +1,8 @@
-//! What one coordinator keeps of what is asked of it: bounded tables for the window that is open, and a report of
-//! each window that is over.
+//! The demand on one coordinator: bounded tables for the open window, and a report of each window that is over.
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-use super::report::{Class, Report, Row, SetKey};
+use super::report::{Class, Report, Row, SetKey, MOST_CLASSES, MOST_IN_SET, MOST_SERVERS};
 use super::sketch::{Distinct, Heavy};
 use crate::fleet::MemberId;
 use crate::interface::ReplicaId;
@@ -25,12 +24,6 @@
     pub reports: usize,
 }
 
-/// Most tiles of one set that is kept, and classes and servers that are counted: a class needs two tables of times, and
-/// a longer set is all but a whole district.
-pub const MOST_IN_SET: usize = 64;
-pub const MOST_CLASSES: usize = 64;
-pub const MOST_SERVERS: usize = 4096;
-
 impl Default for Limits {
     fn default() -> Self {
         Limits { window_ms: 60_000, rows: 1024, clients: 256, tiles: 4096, sets: 512, reports: 16 }
@@ -51,7 +44,7 @@
     pub class: u16,
     pub district: u32,
     pub asks: Asks<'a>,
-    /// A number that stands for the client, where a route names one.
+    /// A number that identifies the client, where a route names one.
     pub client: Option<u64>,
     pub bytes: u64,
     /// It was asked before: by its client again, or of the coordinator that it was taken over from. It counts as a
@@ -98,7 +91,7 @@
     }
 }
 
-/// An entry of a bounded table: one that is there, or a new one while there is room.
+/// An entry of a bounded table: an existing one, or a new one while the table is not full.
 fn within<K: Ord, V: Default>(map: &mut BTreeMap<K, V>, key: K, most: usize) -> Option<&mut V> {
     if map.len() >= most && !map.contains_key(&key) {
         return None;
--- a/src/net/fleet/hold.rs
+++ b/src/net/fleet/hold.rs
@@ -1,10 +1,9 @@
-//! What a front that executes protected work is handed: the work, and a hold on it.
+//! What a front that executes protected work is given: the work, and a hold on it.
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 
 use event_listener::Event as Wake;
 
-use super::driver::Driver;
 use crate::fleet::work::{Key, May, Record};
 
 /// A front that executes the work of which this process is the owner, from its start or by takeover.
@@ -14,17 +13,34 @@
     fn start(self: Rc<Self>, key: Key, record: Rc<Record>, takeover: bool, hold: Hold);
 }
 
+/// The machine that decides over a piece of work, as a hold asks it. Whoever owns the machine carries out what it says.
+pub(super) trait Machine {
+    fn may_send(self: Rc<Self>, key: Key, step: u8, shard: u32, attempt: u8) -> May;
+
+    /// Changes nothing.
+    fn holds(&self, key: Key) -> bool;
+
+    fn cleared(self: Rc<Self>, key: Key, step: u8, shard: u32);
+
+    fn value(self: Rc<Self>, key: Key, step: u8, shard: u32, value: Rc<[u8]>, score: f64);
+
+    fn finish(self: Rc<Self>, key: Key, outcome: Rc<[u8]>);
+
+    /// The last hold on it is gone.
+    fn over(&self, key: Key);
+}
+
 /// What is kept of a piece of work that this process executes, for as long as a [`Hold`] on it lives.
 pub(super) struct Run {
     key: Key,
-    driver: Weak<Driver>,
+    machine: Weak<dyn Machine>,
     stopped: Cell<bool>,
     wake: Wake,
 }
 
 impl Run {
-    pub(super) fn new(key: Key, driver: Weak<Driver>) -> Rc<Run> {
-        Rc::new(Run { key, driver, stopped: Cell::new(false), wake: Wake::new() })
+    pub(super) fn new(key: Key, machine: Weak<dyn Machine>) -> Rc<Run> {
+        Rc::new(Run { key, machine, stopped: Cell::new(false), wake: Wake::new() })
     }
 
     /// More attempts of one of its parts were granted.
@@ -32,7 +48,7 @@
         self.wake.notify(usize::MAX);
     }
 
-    /// Its ballot or lease is lost for good.
+    /// Its ballot or lease is lost and does not come back.
     pub(super) fn stop(&self) {
         self.stopped.set(true);
         self.wake.notify(usize::MAX);
@@ -41,14 +57,14 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
-        if let Some(driver) = self.driver.upgrade() {
-            driver.over(self.key);
+        if let Some(machine) = self.machine.upgrade() {
+            machine.over(self.key);
         }
     }
 }
 
-/// A piece of work in the hand of this process. Copies stand for the same work; with the last one the front says that
-/// it will do no more of it.
+/// A piece of work that this process executes. Copies refer to the same work; dropping the last one says that the front
+/// will do no more of it.
 #[derive(Clone)]
 pub struct Hold(Rc<Run>);
 
@@ -61,44 +77,43 @@
         self.0.key
     }
 
-    /// Whether attempt `attempt` (from 0, counted over all owners) of a part may be sent; waits until that stands
-    /// with a majority. `false`: never, by this process.
+    /// Whether attempt `attempt` (from 0, counted over all owners) of a part may be sent; waits until a majority
+    /// holds that. `false`: never, by this process.
     pub async fn may_send(&self, step: u8, shard: u32, attempt: u8) -> bool {
         loop {
             let wake = self.0.wake.listen();
             if self.is_stopped() {
                 return false;
             }
-            let Some(driver) = self.0.driver.upgrade() else { return false };
-            match driver.work(|works, now| works.may_send(now, self.0.key, step, shard, attempt)) {
+            let Some(machine) = self.0.machine.upgrade() else { return false };
+            match machine.may_send(self.0.key, step, shard, attempt) {
                 May::Now => return true,
                 May::Never => return false,
                 May::Later => {}
             }
-            drop(driver);
             wake.await;
         }
     }
 
     /// Whether ballot and lease are held at this moment: for the last look before a byte leaves.
     pub fn holds(&self) -> bool {
-        let driver = self.0.driver.upgrade();
-        !self.is_stopped() && driver.is_some_and(|d| d.peek(|works, now| works.holds(now, self.0.key)))
+        let machine = self.0.machine.upgrade();
+        !self.is_stopped() && machine.is_some_and(|m| m.holds(self.0.key))
     }
 
     /// One more attempt of the part is proved never to have run.
     pub fn cleared(&self, step: u8, shard: u32) {
-        self.tell(|driver| driver.work(|works, now| works.cleared(now, self.0.key, step, shard)));
+        self.tell(|machine| machine.cleared(self.0.key, step, shard));
     }
 
     /// The value of a part came in.
     pub fn value(&self, step: u8, shard: u32, value: Rc<[u8]>, score: f64) {
-        self.tell(|driver| driver.work(|works, now| works.value(now, self.0.key, step, shard, value, score)));
+        self.tell(|machine| machine.value(self.0.key, step, shard, value, score));
     }
 
-    /// This is the outcome. Whoever waits for it hears of it once it stands with a majority.
+    /// This is the outcome. It is answered once a majority holds it.
     pub fn finish(&self, outcome: Rc<[u8]>) {
-        self.tell(|driver| driver.work(|works, now| works.finish(now, self.0.key, outcome)));
+        self.tell(|machine| machine.finish(self.0.key, outcome));
     }
 
     /// Whether ballot or lease are lost for good: nothing of this work may be sent or answered by this process.
@@ -117,9 +132,9 @@
         }
     }
 
-    fn tell(&self, what: impl FnOnce(&Rc<Driver>)) {
-        if let Some(driver) = self.0.driver.upgrade().filter(|_| !self.is_stopped()) {
-            what(&driver);
+    fn tell(&self, what: impl FnOnce(Rc<dyn Machine>)) {
+        if let Some(machine) = self.0.machine.upgrade().filter(|_| !self.is_stopped()) {
+            what(machine);
         }
     }
 }
