Measure what a coordinator costs at the operators' size, an axis at a time

The operators' size in two years (1,600 coordinators, 11,000 data nodes, 410 parts a query) has no run behind any figure. benches/scale/ plays the program's own module, discovery client and core without wires at sizes of one axis at a time, fits a line with its error, and holds the value at the target against its bound; a walk from today's size to the target says which bound breaks first.

--- /dev/null
+++ b/benches/scale/fit.rs
@@ -0,0 +1,73 @@
+//! A straight line through measured points by least squares, and how well it fits them.
+use serde::Serialize;
+
+/// `intercept + slope * x`, with the errors of the fit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Fit {
+    pub intercept: f64,
+    pub slope: f64,
+    /// Standard error of the slope; zero for two points.
+    pub slope_error: f64,
+    /// Root mean square of the residuals, as a share of the mean absolute value of the points.
+    pub relative_rms: f64,
+}
+
+/// Points that no line can be fitted to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FitError {
+    /// Fewer than two points.
+    TooFew,
+    /// All points are of one size.
+    OneSize,
+    /// A point is not a finite number.
+    NotFinite,
+}
+
+impl std::fmt::Display for FitError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            FitError::TooFew => "fewer than two points",
+            FitError::OneSize => "all points are of one size",
+            FitError::NotFinite => "a point is not a finite number",
+        })
+    }
+}
+
+impl std::error::Error for FitError {}
+
+impl Fit {
+    /// The line with the least sum of squared residuals.
+    pub fn of(points: &[(f64, f64)]) -> Result<Fit, FitError> {
+        if points.len() < 2 {
+            return Err(FitError::TooFew);
+        }
+        if points.iter().any(|(x, y)| !x.is_finite() || !y.is_finite()) {
+            return Err(FitError::NotFinite);
+        }
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
+        let spread = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum::<f64>();
+        if spread == 0.0 {
+            return Err(FitError::OneSize);
+        }
+        let slope = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum::<f64>() / spread;
+        let intercept = mean_y - slope * mean_x;
+        let residuals = points.iter().map(|p| (p.1 - intercept - slope * p.0).powi(2)).sum::<f64>();
+        let scale = points.iter().map(|p| p.1.abs()).sum::<f64>() / n;
+        let relative_rms = if scale > 0.0 { (residuals / n).sqrt() / scale } else { 0.0 };
+        let slope_error = if n > 2.0 { (residuals / (n - 2.0) / spread).sqrt() } else { 0.0 };
+        Ok(Fit { intercept, slope, slope_error, relative_rms })
+    }
+
+    /// The line's value at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+
+    /// The size from which on the line is over a bound; `None` where it never comes to it.
+    pub fn reaches(&self, bound: f64) -> Option<f64> {
+        let size = (bound - self.intercept) / self.slope;
+        (self.slope > 0.0).then_some(size.max(0.0))
+    }
+}
--- /dev/null
+++ b/tests/scale/rows.rs
@@ -0,0 +1,70 @@
+//! What rows come to, and how they are written down.
+use crate::options::Options;
+use crate::report::{Kind, Report, Row};
+use crate::table;
+use crate::target::{Sizes, TARGET, TODAY};
+
+fn row(points: &[(f64, f64)], target: f64, bound: Option<f64>) -> Row {
+    let [role, figure, axis, unit] =
+        ["coordinator", "a figure", "data nodes", "bytes"].map(|text| text.to_owned());
+    let (carried_by, note) = ("src/net/discovery/".to_owned(), "all else at the target".to_owned());
+    let (points, kind) = (points.to_vec(), Kind::Exact);
+    Row { role, figure, axis, unit, kind, points, target, bound, carried_by, note }
+}
+
+#[test]
+fn a_row_is_held_against_its_bound_at_the_target() {
+    // By the line where the target was not measured.
+    let fitted = row(&[(1.0, 10.0), (2.0, 20.0), (3.0, 30.0)], 100.0, Some(250.0)).fitted();
+    assert!((fitted.at_target - 1000.0).abs() < 1e-6 && !fitted.measured, "{fitted:?}");
+    assert!(fitted.factor.is_some_and(|f| (f - 4.0).abs() < 1e-9), "{fitted:?}");
+    assert!(fitted.breaks_at.is_some_and(|x| (x - 25.0).abs() < 1e-9), "{fitted:?}");
+    // As measured where it was, whatever the line says.
+    let fitted = row(&[(1.0, 10.0), (2.0, 20.0), (3.0, 36.0)], 3.0, None).fitted();
+    assert_eq!(
+        (fitted.at_target, fitted.measured, fitted.factor, fitted.breaks_at),
+        (36.0, true, None, None)
+    );
+}
+
+#[test]
+fn a_report_names_the_command_of_each_row_and_is_read_back() {
+    let mut report = Report::new(0.5);
+    report.begin("module");
+    report.push(row(&[(1.0, 10.0), (2.0, 20.0)], 4.0, Some(20.0)));
+    let json: serde_json::Value = serde_json::from_str(&report.json().expect("JSON")).expect("JSON");
+    let entry = &json["entries"][0];
+    assert_eq!(entry["command"], "cargo bench --bench scale -- --only module --size 0.5");
+    assert_eq!((entry["points"][1][1].as_f64(), entry["fitted"]["factor"].as_f64()), (Some(20.0), Some(2.0)));
+    let (text, page) = (table::text(&report), table::markdown(&report));
+    assert!(text.lines().count() == 2 && text.contains("40 bytes at 4 by the line"), "{text}");
+    assert!(page.contains("### `cargo bench") && page.contains("1: 10, 2: 20"), "{page}");
+}
+
+#[test]
+fn numbers_keep_three_digits() {
+    let told: Vec<String> = [0.0, 0.012_345, 1.5, 12.345, 99.0, 1234.5, -0.5].map(table::number).to_vec();
+    assert_eq!(told, ["0", "0.0123", "1.5", "12.3", "99", "1234", "-0.5"]);
+}
+
+#[test]
+fn each_axis_has_five_sizes_or_more_up_to_its_share_of_the_target() {
+    for (share, target) in [("1", 11_000.0), ("0.02", 11_000.0), ("0.02", 16.0), ("0.001", 1.0)] {
+        let options = Options::read(["scale", "--size", share]).expect("read");
+        let sizes = options.sizes(target, 1.0);
+        assert!(sizes.len() >= 5 && sizes.windows(2).all(|w| w[0] < w[1]), "{share} of {target}: {sizes:?}");
+    }
+    let options = Options::read(["scale"]).expect("read");
+    assert_eq!(options.sizes(11_000.0, 1.0), [220.0, 1100.0, 2750.0, 5500.0, 8250.0, 11_000.0]);
+}
+
+#[test]
+fn the_way_begins_today_and_ends_at_the_target() {
+    let near = |a: f64, b: f64| (a - b).abs() < 1e-6 * b;
+    for (t, sizes) in [(0.0, TODAY), (1.0, TARGET)] {
+        let way = Sizes::on_the_way(t);
+        assert!(near(way.data_nodes, sizes.data_nodes) && near(way.parts, sizes.parts), "{way:?}");
+        assert!(near(way.queries, sizes.queries) && near(way.coordinators, sizes.coordinators), "{way:?}");
+    }
+    assert_eq!((TODAY.open(), TARGET.open(), TARGET.zone_entries()), (1.0, 16.0, 733.0));
+}
