--- a/benches/scale/client.rs
+++ b/benches/scale/client.rs
@@ -41,8 +41,13 @@
     )
 }
 
+/// An address at which nothing is called.
+pub fn nowhere() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 9))
+}
+
 /// A deployment's settings for so many data nodes and zones, its list asked for.
-fn deployment(data_nodes: u64, zones: u64) -> Result<Deployment, Unreadable> {
+pub fn deployment(data_nodes: u64, zones: u64) -> Result<Deployment, Unreadable> {
     let cells = (data_nodes / IN_CELL).clamp(1, u64::from(u16::MAX));
     let names: Vec<String> = (0..zones.max(1)).map(|n| format!("z{n:02}")).collect();
     let settings = json!({
--- a/benches/scale/fit.rs
+++ b/benches/scale/fit.rs
@@ -1,6 +1,9 @@
 //! A straight line through measured points by least squares, and how well it fits them.
 use serde::Serialize;
 
+/// Share of a slope under which its error is that of the numbers' rounding.
+const ROUNDING: f64 = 1e-12;
+
 /// `intercept + slope * x`, with the errors of the fit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Fit {
@@ -57,6 +60,8 @@
         let scale = points.iter().map(|p| p.1.abs()).sum::<f64>() / n;
         let relative_rms = if scale > 0.0 { (residuals / n).sqrt() / scale } else { 0.0 };
         let slope_error = if n > 2.0 { (residuals / (n - 2.0) / spread).sqrt() } else { 0.0 };
+        // What rounding of the numbers themselves leaves is no error of the fit.
+        let slope_error = if slope_error < ROUNDING * slope.abs() { 0.0 } else { slope_error };
         Ok(Fit { intercept, slope, slope_error, relative_rms })
     }
 
--- a/benches/scale/hollow.rs
+++ b/benches/scale/hollow.rs
@@ -89,8 +89,9 @@
     pub lost: u64,
     pub sends: u64,
     pub rounds: u64,
-    /// Allocations of the module, and bytes that it keeps, where these are counted.
+    /// Allocations of the module, their bytes, and those that it keeps, where these are counted.
     pub allocations: u64,
+    pub allocated: u64,
     pub kept: i64,
 }
 
@@ -156,6 +157,7 @@
             let info = allocation_counter::measure(|| actions = balancer.round(now, &events));
             let handed_out = actions.capacity() * size_of::<Action>();
             self.counts.allocations += info.count_total;
+            self.counts.allocated += info.bytes_total;
             self.counts.kept += info.bytes_current - handed_out as i64;
         } else {
             actions = balancer.round(now, &events);
--- a/benches/scale/listing.rs
+++ b/benches/scale/listing.rs
@@ -1,19 +1,19 @@
 //! Bytes and time of the list of data nodes: whole, by changed entry, standing, and after a restart, a broken watch
 //! and a lost zone.
 use std::hint::black_box;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use marlgap::interface::News;
 use marlgap::net::discovery::List;
 
-use crate::client::{follow, list, Client};
+use crate::client::{follow, list, nowhere, Client};
 use crate::options::Options;
-use crate::report::{Kind, Report, Row};
+use crate::report::{least, Kind, Report, Row};
 use crate::standin::{Exchange, Reply};
 use crate::target::*;
 
 const CARRIED: &str = "src/net/discovery/";
-/// Rounds that a time is the middle of.
+/// Rounds that a time is the least of.
 const ROUNDS: usize = 9;
 const ZONES: u64 = TARGET.zones as u64;
 
@@ -75,12 +75,7 @@
     vec![bytes, seconds]
 }
 
-fn middle(mut times: Vec<Duration>) -> f64 {
-    times.sort();
-    times.get(times.len() / 2).map_or(f64::NAN, |t| t.as_secs_f64() * 1e6)
-}
-
-/// Parsing a text, and taking it over through the module's round; middle times in microseconds.
+/// Parsing a text, and taking it over through the module's round; the least times in microseconds.
 pub fn parse_and_take(client: &Client, texts: &[String], news: News) -> (f64, f64) {
     let (mut parses, mut takes) = (Vec::new(), Vec::new());
     for round in 0..ROUNDS {
@@ -92,11 +87,7 @@
         client.take_over(black_box(&list), news);
         takes.push(begun.elapsed());
     }
-    (middle(parses), middle(takes))
-}
-
-fn nowhere() -> std::net::SocketAddr {
-    std::net::SocketAddr::from(([127, 0, 0, 1], 9))
+    (least(&parses), least(&takes))
 }
 
 fn takeover(options: &Options) -> Vec<Row> {
@@ -187,7 +178,7 @@
         let replies = vec![Reply::Body(list(42, false, 0, changed as u64, ZONES, "up"))];
         follow(nodes, ZONES, Some(&known), replies).pop().expect("an exchange").bytes() as f64
     };
-    let target = CHANGES_A_DAY / 24.0;
+    let target = (CHANGES_A_DAY / 24.0).round();
     let points = options.sizes(target, 1.0).into_iter().map(|n| (n, bytes(n))).collect();
     let mut row = row("restart with a known list", "bytes", "entries changed since", target, points);
     row.note = "the target is a known list that is an hour old; without one: the whole list".to_owned();
@@ -205,7 +196,7 @@
         let exchanges = follow(nodes, ZONES, None, replies);
         exchanges.iter().skip(1).map(Exchange::bytes).sum::<usize>() as f64
     };
-    let target = CHANGES_A_DAY / 24.0 / 60.0;
+    let target = (CHANGES_A_DAY / 24.0 / 60.0).round();
     let points = options.sizes(target, 1.0).into_iter().map(|n| (n, bytes(n))).collect();
     let mut row = row("a broken watch", "bytes", "entries changed since", target, points);
     row.note = "the call that broke and its renewal; the target is a minute's changes".to_owned();
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -17,6 +17,7 @@
 mod options;
 mod plan;
 mod report;
+mod sockets;
 mod standin;
 mod state;
 mod table;
@@ -36,9 +37,13 @@
     Run { name: "listing", estimate_mb: listing::estimate_mb, run: listing::run },
     Run { name: "state", estimate_mb: state::estimate_mb, run: state::run },
     Run { name: "meetings", estimate_mb: meetings::estimate_mb, run: meetings::run },
+    Run { name: "sockets", estimate_mb: sockets::estimate_mb, run: sockets::run },
     Run { name: walk::NAME, estimate_mb: walk::estimate_mb, run: walk::run },
 ];
 
+/// How a page of tables begins.
+const TITLE: &str = "# Tables of the scale bench\n\nWritten by the bench; what they say is in [CAPACITY.md](CAPACITY.md).\n\n";
+
 fn main() -> ExitCode {
     match begin() {
         Ok(()) => ExitCode::SUCCESS,
@@ -82,14 +87,16 @@
     for run in planned {
         eprintln!("run {}, some {} MB at most", run.name, (run.estimate_mb)(&options));
         report.begin(run.name);
+        let begun = std::time::Instant::now();
         (run.run)(&options, &mut report);
+        eprintln!("run {} took {:.1} s", run.name, begun.elapsed().as_secs_f64());
     }
     print!("{}", table::text(&report));
     if let Some(path) = &options.json {
         write(path, &report.json().map_err(Failure::Json)?)?;
     }
     if let Some(path) = &options.markdown {
-        write(path, &(walk::markdown(&report) + &table::markdown(&report)))?;
+        write(path, &(TITLE.to_owned() + &walk::markdown(&report) + &table::markdown(&report)))?;
     }
     Ok(())
 }
--- a/benches/scale/module.rs
+++ b/benches/scale/module.rs
@@ -5,14 +5,14 @@
 
 use crate::hollow::{Hollow, Setup};
 use crate::options::Options;
-use crate::report::{Kind, Report, Row};
+use crate::report::{least, Kind, Report, Row};
 use crate::target::*;
 
 /// Outcomes that come in together.
 const TOGETHER: usize = 8;
 /// Seconds between two rounds of one outcome.
 const STEP: f64 = 1e-4;
-/// Rounds and queries that a time is the middle of.
+/// Rounds and queries that a time is the least of.
 const ROUNDS: usize = 61;
 const QUERIES: usize = 5;
 
@@ -55,12 +55,7 @@
     row
 }
 
-fn micros(times: &mut [Duration]) -> f64 {
-    times.sort();
-    times.get(times.len() / 2).map_or(f64::NAN, |t| t.as_secs_f64() * 1e6)
-}
-
-/// The middle time of a round with one outcome, while so many queries are open.
+/// The least time of a round with one outcome, while so many queries are open.
 fn one_outcome(setup: &Setup, open: u32, parts: u32) -> Result<f64, SettingsError> {
     let mut hollow = Hollow::new(setup)?;
     hollow.ask(open, parts);
@@ -71,10 +66,27 @@
         hollow.now += STEP;
         times.push(hollow.round(events));
     }
-    Ok(micros(&mut times))
+    Ok(least(&times))
+}
+
+/// Bytes that the module allocates for a round with one outcome, while so many queries are open.
+fn allocated(setup: &Setup, open: u32, parts: u32) -> Result<f64, SettingsError> {
+    let mut hollow = Hollow::new(setup)?;
+    hollow.ask(open, parts);
+    let events = hollow.outcomes(1);
+    hollow.now += STEP;
+    hollow.counting = true;
+    hollow.round(events);
+    Ok(hollow.counts.allocated as f64)
+}
+
+/// The same as exact bytes.
+fn bytes(mut row: Row) -> Row {
+    (row.kind, row.unit) = (Kind::Exact, "bytes".to_owned());
+    row
 }
 
-/// The middle time of all rounds of a query, arrival to answer, while so many are open; each takes the time that an
+/// The least time of all rounds of a query, arrival to answer, while so many are open; each takes the time that an
 /// answer may take.
 pub fn whole_query(setup: &Setup, open: u32, parts: u32) -> Result<f64, SettingsError> {
     let mut hollow = Hollow::new(setup)?;
@@ -82,9 +94,9 @@
     let step = ANSWER_SECONDS / f64::from(open.max(1)) * TOGETHER as f64 / f64::from(parts.max(1));
     let query = |hollow: &mut Hollow| hollow.ask(1, parts) + hollow.finish(TOGETHER, step);
     query(&mut hollow);
-    let mut times: Vec<Duration> = (0..QUERIES).map(|_| query(&mut hollow)).collect();
+    let times: Vec<Duration> = (0..QUERIES).map(|_| query(&mut hollow)).collect();
     assert_eq!((hollow.counts.lost, hollow.open()), (0, open.max(1) as usize - 1), "all come to their end");
-    Ok(micros(&mut times))
+    Ok(least(&times))
 }
 
 fn by_data_nodes(options: &Options) -> Result<Vec<Row>, SettingsError> {
@@ -103,6 +115,8 @@
     };
     let note = format!("one query of {parts} parts open");
     let round = shape("round with one outcome", note.clone()).row(of(&|s| one_outcome(s, 1, parts))?);
+    let figure = "allocated by a round with one outcome";
+    let heap = bytes(shape(figure, note.clone()).row(of(&|s| allocated(s, 1, parts))?));
     let rounds_a_second = TARGET.queries * TARGET.parts / TOGETHER as f64;
     let all_rounds =
         cores(round.clone(), "rounds of eight outcomes, one query open", rounds_a_second, DATA_CORES);
@@ -114,11 +128,11 @@
         cores(change.clone(), "configuration changes", CHANGES_A_DAY / SECONDS_A_DAY, CONTROL_CORES);
     let whole = shape("whole list", "nothing open; taken over anew".to_owned()).row(of(&whole_list)?);
     let idle = shape("round with nothing in it", "nothing open".to_owned()).row(of(&nothing)?);
-    let looks = cores(idle.clone(), "looks at what is open, 50 a second", 50.0, CONTROL_CORES);
-    Ok(vec![round, all_rounds, query, queries, change, changes, whole, idle, looks])
+    let looks = cores(idle.clone(), "looks at what is open, 50 a second", 50.0, DATA_CORES);
+    Ok(vec![round, heap, all_rounds, query, queries, change, changes, whole, idle, looks])
 }
 
-/// The middle time of a round with one entry of the list that drains and comes back.
+/// The least time of a round with one entry of the list that drains and comes back.
 fn one_change(setup: &Setup) -> Result<f64, SettingsError> {
     changed(setup, 1)
 }
@@ -132,20 +146,19 @@
         hollow.now += STEP;
         times.push(hollow.members(News::Delta, news));
     }
-    Ok(micros(&mut times))
+    Ok(least(&times))
 }
 
 fn whole_list(setup: &Setup) -> Result<f64, SettingsError> {
     let mut hollow = Hollow::new(setup)?;
-    let mut times: Vec<Duration> =
-        (0..QUERIES).map(|_| hollow.members(News::Full, setup.entries())).collect();
-    Ok(micros(&mut times))
+    let times: Vec<Duration> = (0..QUERIES).map(|_| hollow.members(News::Full, setup.entries())).collect();
+    Ok(least(&times))
 }
 
 fn nothing(setup: &Setup) -> Result<f64, SettingsError> {
     let mut hollow = Hollow::new(setup)?;
-    let mut times: Vec<Duration> = (0..ROUNDS).map(|_| hollow.round(Vec::new())).collect();
-    Ok(micros(&mut times))
+    let times: Vec<Duration> = (0..ROUNDS).map(|_| hollow.round(Vec::new())).collect();
+    Ok(least(&times))
 }
 
 fn by_load(options: &Options) -> Result<Vec<Row>, SettingsError> {
@@ -170,16 +183,17 @@
         target: open,
         ..by_parts(figure, &format!("{parts} parts each"))
     };
-    let (mut rounds, mut queries) = (Vec::new(), Vec::new());
-    let sizes = [1.0, 2.0, 4.0, 8.0, 12.0, open];
-    for size in sizes {
+    let (mut rounds, mut queries, mut heap) = (Vec::new(), Vec::new(), Vec::new());
+    for size in [1.0, 2.0, 4.0, 8.0, 12.0, open] {
+        heap.push((size, allocated(&setup, size as u32, parts)?));
         rounds.push((size, one_outcome(&setup, size as u32, parts)?));
         queries.push((size, whole_query(&setup, size as u32, parts)?));
     }
     let round = by_open("round with one outcome").row(rounds);
+    let heap = bytes(by_open("allocated by a round with one outcome").row(heap));
     let query = by_open("query, arrival to answer").row(queries);
     let carried = cores(query.clone(), "queries, all of a second", TARGET.queries, DATA_CORES);
-    Ok(vec![wide, round, query, carried])
+    Ok(vec![wide, round, heap, query, carried])
 }
 
 fn by_fleet(options: &Options) -> Result<Vec<Row>, SettingsError> {
--- a/benches/scale/report.rs
+++ b/benches/scale/report.rs
@@ -1,4 +1,6 @@
 //! What the runs measured: rows of points along one axis of size, and what they come to at the target.
+use std::time::Duration;
+
 use serde::Serialize;
 
 use crate::fit::Fit;
@@ -15,6 +17,11 @@
     Time,
 }
 
+/// The least of some times, in microseconds: what else the machine did is left out as far as it can be.
+pub fn least(times: &[Duration]) -> f64 {
+    times.iter().min().map_or(f64::NAN, |t| t.as_secs_f64() * 1e6)
+}
+
 /// One figure of one role along one axis of size, all else as the note says.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Row {
--- a/benches/scale/state.rs
+++ b/benches/scale/state.rs
@@ -3,7 +3,7 @@
 use marlgap::interface::{ColdRule, News, SettingsError};
 use marlgap::net::discovery::List;
 
-use crate::client::{list, Client};
+use crate::client::{list, nowhere, Client};
 use crate::hollow::{Hollow, Setup};
 use crate::options::Options;
 use crate::report::{Kind, Report, Row};
@@ -12,6 +12,10 @@
 const ZONES: u64 = TARGET.zones as u64;
 /// Seconds of queries after which the module's recent past is full.
 const RECENT: f64 = 6.0;
+/// Data nodes and parts of a query where their number does not matter, and parts by which the recent past is full.
+const FEW_NODES: f64 = 220.0;
+const FEW_PARTS: u32 = 40;
+const LATELY_SENT: f64 = 50_000.0;
 /// Seconds in which each query is answered.
 const ANSWERED: f64 = 0.004;
 /// A rule on cold data nodes, as the largest deployment of today tells it.
@@ -38,8 +42,7 @@
 
 /// Bytes that are kept of a list that was taken over, and the most that stood at once while it was parsed and taken.
 pub fn of_list(data_nodes: u64) -> (f64, f64) {
-    let at = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
-    let client = Client::new(data_nodes, ZONES, at);
+    let client = Client::new(data_nodes, ZONES, nowhere());
     let info = measure(|| {
         let text = list(41, true, 0, data_nodes, ZONES, "up");
         let parsed: List = serde_json::from_str(&text).expect("the bench's own list");
@@ -104,37 +107,44 @@
 fn load(hollow: &mut Hollow, rate: f64, parts: u32, seconds: f64) {
     for _ in 0..((rate * seconds) as u32).max(1) {
         hollow.ask(1, parts);
-        hollow.finish(parts as usize, ANSWERED);
-        hollow.now += 1.0 / rate - ANSWERED;
+        let step = ANSWERED.min(1.0 / rate);
+        hollow.finish(parts as usize, step);
+        hollow.now += 1.0 / rate - step;
     }
 }
 
+/// What is remembered of the last seconds, by how much comes in.
 fn lately(options: &Options) -> Result<Vec<Row>, SettingsError> {
-    let cold = Some(COLD);
-    let setup = Setup { cold, ..Setup::of(options.scaled(TARGET.data_nodes, 220.0)) };
-    let parts = options.scaled(TARGET.parts, 2.0) as u32;
+    let setup = Setup { cold: Some(COLD), ..Setup::of(FEW_NODES) };
+    let target = TARGET.queries * TARGET.parts;
     let mut points = Vec::new();
-    for rate in options.sizes(TARGET.queries.floor(), 2.0) {
-        points.push((rate, kept(&setup, |hollow| load(hollow, rate, parts, RECENT))?));
+    for size in options.sizes(target, 400.0) {
+        let rate = size / f64::from(FEW_PARTS);
+        points.push((size, kept(&setup, |hollow| load(hollow, rate, FEW_PARTS, RECENT))?));
     }
-    let note = format!("{RECENT} s of queries of {parts} parts, none open at the end, a rule on cold data nodes told; list left out");
+    let note = format!(
+        "{RECENT} s of queries of {FEW_PARTS} parts before {FEW_NODES} data nodes, none open at the end, a rule on cold ones told; list left out"
+    );
     let figure = "module, what it remembers of the last seconds";
-    let target = TARGET.queries.floor();
-    Ok(vec![row(figure, "queries a second", target, points, "src/state.rs", &note)])
+    Ok(vec![row(figure, "parts a second", target, points, "src/state.rs", &note)])
 }
 
-/// Without a rule on cold data nodes, by how long queries have come.
+/// Without a rule on cold data nodes, by how much was sent: one coordinator, looked at as it goes.
 fn sent(options: &Options) -> Result<Vec<Row>, SettingsError> {
-    let setup = Setup::of(options.scaled(TARGET.data_nodes, 220.0));
-    let parts = options.scaled(TARGET.parts, 2.0) as u32;
-    let rate = options.scaled(TARGET.queries, 2.0);
-    let mut points = Vec::new();
-    for seconds in [6.0, 9.0, 12.0, 15.0, 18.0] {
-        points.push((seconds, kept(&setup, |hollow| load(hollow, rate, parts, seconds))?));
+    let mut hollow = Hollow::new(&Setup::of(FEW_NODES))?;
+    hollow.counting = true;
+    let (mut points, mut parts) = (Vec::new(), 0.0);
+    for least in [2.0, 3.0, 4.0, 5.0, 6.0].map(|times| times * options.scaled(LATELY_SENT, 400.0)) {
+        while parts < least {
+            load(&mut hollow, TARGET.queries, FEW_PARTS, 1.0 / TARGET.queries);
+            parts += f64::from(FEW_PARTS);
+        }
+        points.push((parts, hollow.counts.kept as f64));
     }
     let note = format!(
-        "{rate} queries of {parts} parts a second, no rule on cold data nodes told: times of sends are not dropped; the target is a day"
+        "queries of {FEW_PARTS} parts before {FEW_NODES} data nodes, no rule on cold ones told: times of sends are not dropped; the target is a day of 87,125 parts a second"
     );
-    let figure = "module, what it remembers of sends";
-    Ok(vec![row(figure, "seconds under load", SECONDS_A_DAY, points, "src/state.rs", &note)])
+    let (figure, target) =
+        ("module, what it remembers of sends", TARGET.queries * TARGET.parts * SECONDS_A_DAY);
+    Ok(vec![row(figure, "parts sent since the start", target, points, "src/state.rs", &note)])
 }
--- a/benches/scale/walk.rs
+++ b/benches/scale/walk.rs
@@ -1,9 +1,9 @@
 //! The way from today's size to the target, all axes together: where on it each bound breaks.
-use marlgap::interface::SettingsError;
+use marlgap::interface::{News, SettingsError};
 
-use crate::client::{list, Client};
+use crate::client::{list, nowhere, Client};
 use crate::hollow::Setup;
-use crate::listing::{change_exchange, seconds, watch_bytes, whole_exchange};
+use crate::listing::{change_exchange, parse_and_take, seconds, watch_bytes, whole_exchange};
 use crate::meetings::{met, most_connections, wanted_over_let_in};
 use crate::module::whole_query;
 use crate::options::Options;
@@ -12,7 +12,7 @@
 use crate::target::*;
 
 /// Steps of the way.
-const STEPS: u32 = 10;
+const STEPS: u32 = 16;
 pub const NAME: &str = "walk";
 const AXIS: &str = "way from today (0) to the target (1)";
 
@@ -44,6 +44,15 @@
             Ok(s.queries * whole_query(&Setup::of(s.data_nodes), s.open() as u32, s.parts as u32)? / 1e6)
         },
     },
+    Bounded {
+        role: "coordinator",
+        figure: "module's time within one query, alone",
+        unit: "s",
+        kind: Kind::Time,
+        bound: ANSWER_SECONDS,
+        carried_by: "src/balance/",
+        value: |s| Ok(whole_query(&Setup::of(s.data_nodes), 1, s.parts as u32)? / 1e6),
+    },
     Bounded {
         role: "coordinator",
         figure: "whole list within control's bytes",
@@ -136,14 +145,11 @@
 /// Microseconds to parse and take over one changed entry.
 fn one_change(sizes: &Sizes) -> f64 {
     let (nodes, zones) = (sizes.data_nodes as u64, sizes.zones as u64);
-    let client = Client::new(nodes, zones, std::net::SocketAddr::from(([127, 0, 0, 1], 9)));
+    let client = Client::new(nodes, zones, nowhere());
     let known = list(41, true, 0, nodes, zones, "up");
-    client.take_over(
-        &serde_json::from_str(&known).expect("the bench's own list"),
-        marlgap::interface::News::Full,
-    );
+    client.take_over(&serde_json::from_str(&known).expect("the bench's own list"), News::Full);
     let texts = ["draining", "up"].map(|health| list(42, false, 0, 1, zones, health));
-    let (parse, take) = crate::listing::parse_and_take(&client, &texts, marlgap::interface::News::Delta);
+    let (parse, take) = parse_and_take(&client, &texts, News::Delta);
     parse + take
 }
 
@@ -164,20 +170,34 @@
         [bounded.role, bounded.figure, bounded.unit, bounded.carried_by].map(str::to_owned);
     let bound = if bounded.bound > 0.0 { bounded.bound } else { most_connections() };
     let (axis, kind, note) = (AXIS.to_owned(), bounded.kind, String::new());
-    Ok(Row { role, figure, axis, unit, kind, points, target: 1.0, bound: Some(bound), carried_by, note })
+    Ok(Row {
+        role,
+        figure,
+        axis,
+        unit,
+        kind,
+        points,
+        target: options.size,
+        bound: Some(bound),
+        carried_by,
+        note,
+    })
 }
 
-/// The walk's rows as a table, the bound that breaks first at its top.
+/// The walk's rows as a table, the bound that breaks first at its top; nothing where the walk was not run.
 pub fn markdown(report: &Report) -> String {
     let mut entries: Vec<&Entry> = report.entries.iter().filter(|e| e.run == NAME).collect();
+    if entries.is_empty() {
+        return String::new();
+    }
     let at = |e: &Entry| e.fitted.breaks_at.unwrap_or(f64::INFINITY);
     entries.sort_by(|a, b| at(a).total_cmp(&at(b)));
     let mut text = String::from(
-        "| role | figure | breaks at | data nodes | coordinators | parts a query | queries/s | factor at the target | carried by |\n|---|---|---|---|---|---|---|---|---|\n",
+        "## Where on the way from today (0) to the target (1) each bound breaks\n\n| role | figure | breaks at | data nodes | coordinators | parts a query | queries/s | factor at the target | carried by |\n|---|---|---|---|---|---|---|---|---|\n",
     );
     for entry in entries {
         let (row, factor) = (&entry.row, entry.fitted.factor.map_or("-".to_owned(), crate::table::number));
-        let place = match entry.fitted.breaks_at.filter(|t| *t <= 1.0) {
+        let place = match entry.fitted.breaks_at.filter(|t| *t <= row.target) {
             None => "not on the way | - | - | - | -".to_owned(),
             Some(t) => {
                 let s = Sizes::on_the_way(t);
--- a/tests/scale/costs.rs
+++ b/tests/scale/costs.rs
@@ -8,7 +8,7 @@
 use crate::plan::Run;
 use crate::report::{Kind, Report};
 use crate::target::{CONTROL_BYTES, TARGET};
-use crate::{listing, meetings, module, state, walk};
+use crate::{listing, meetings, module, sockets, state, walk};
 
 /// All of a run's rows at a fiftieth of the target: each has points enough, all finite, in order of size.
 fn short(run: Run, rows: usize) -> Report {
@@ -31,8 +31,8 @@
 
 #[test]
 fn the_module_s_run_in_short() {
-    let report = short(Run { name: "module", estimate_mb: module::estimate_mb, run: module::run }, 16);
-    assert!(report.entries.iter().all(|e| e.row.kind == Kind::Time));
+    let report = short(Run { name: "module", estimate_mb: module::estimate_mb, run: module::run }, 18);
+    assert_eq!(report.entries.iter().filter(|e| e.row.kind == Kind::Exact).count(), 2);
 }
 
 #[test]
@@ -59,11 +59,18 @@
     short(Run { name: "meetings", estimate_mb: meetings::estimate_mb, run: meetings::run }, 5);
 }
 
+#[test]
+fn the_run_on_connections_in_short() {
+    let report = short(Run { name: "sockets", estimate_mb: sockets::estimate_mb, run: sockets::run }, 3);
+    assert!(report.entries[0].row.points.iter().all(|p| p.1 > 0.0));
+}
+
 #[test]
 fn the_walk_in_short_and_its_table() {
-    let report = short(Run { name: walk::NAME, estimate_mb: walk::estimate_mb, run: walk::run }, 9);
+    let report = short(Run { name: walk::NAME, estimate_mb: walk::estimate_mb, run: walk::run }, 10);
     let table = walk::markdown(&report);
-    assert_eq!(table.lines().count(), 2 + 9, "{table}");
+    assert_eq!(table.lines().count(), 4 + 10, "{table}");
+    assert!(walk::markdown(&Report::new(1.0)).is_empty());
 }
 
 /// What a change costs in bytes is the change's, however many data nodes are listed; the whole list is each one's.
--- a/tests/scale/main.rs
+++ b/tests/scale/main.rs
@@ -19,6 +19,8 @@
 mod plan;
 #[path = "../../benches/scale/report.rs"]
 mod report;
+#[path = "../../benches/scale/sockets.rs"]
+mod sockets;
 #[path = "../../benches/scale/standin.rs"]
 mod standin;
 #[path = "../../benches/scale/state.rs"]
--- a/tests/scale/rows.rs
+++ b/tests/scale/rows.rs
@@ -27,6 +27,17 @@
     );
 }
 
+/// On a way that is no straight line the bound is passed between the two points around it.
+#[test]
+fn a_bound_breaks_where_it_was_measured_to() {
+    let breaks = |points: &[(f64, f64)]| row(points, 1.0, Some(10.0)).fitted().breaks_at;
+    assert_eq!(breaks(&[(0.0, 1.0), (0.5, 5.0), (1.0, 25.0)]), Some(0.625));
+    assert_eq!(breaks(&[(0.25, 11.0), (0.5, 50.0), (1.0, 250.0)]), Some(0.25));
+    // By the line, it would have been broken before the last point, which is within the bound.
+    assert_eq!(breaks(&[(0.0, 1.0), (1.0, 9.0), (2.0, 9.0), (3.0, 9.0)]).filter(|x| *x <= 3.0), None);
+    assert_eq!(breaks(&[(0.0, 1.0), (1.0, 1.0)]), None);
+}
+
 #[test]
 fn a_report_names_the_command_of_each_row_and_is_read_back() {
     let mut report = Report::new(0.5);
