--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -9,6 +9,7 @@
 //! Every cost comes from the program's own code. A row holds its points, the line through them with its error, what
 //! that comes to at the target and how many times the bound that is; the page is `docs/CAPACITY.md`.
 mod client;
+mod control;
 mod fit;
 mod hollow;
 mod listing;
@@ -30,13 +31,17 @@
 use plan::Run;
 use report::Report;
 
-/// All runs, in the order of the page. The control plane's have their place behind these, as `control::run`.
+/// All runs, in the order of the page.
 const RUNS: &[Run] = &[
     Run { name: "module", estimate_mb: module::estimate_mb, run: module::run },
     Run { name: "listing", estimate_mb: listing::estimate_mb, run: listing::run },
     Run { name: "state", estimate_mb: state::estimate_mb, run: state::run },
     Run { name: "meetings", estimate_mb: meetings::estimate_mb, run: meetings::run },
     Run { name: walk::NAME, estimate_mb: walk::estimate_mb, run: walk::run },
+    control::LOG,
+    control::LIST,
+    control::WORKS,
+    control::FOUNDING,
 ];
 
 fn main() -> ExitCode {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -1,6 +1,7 @@
 //! The list of data nodes, as discovery tells it: the whole list, then a watch on changes.
 mod list;
-mod terms;
+pub mod terms;
+pub mod version;
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -24,7 +25,7 @@
 
 /// The largest list: some ten thousand data nodes with long names. Only what comes is held in memory, and not for
 /// longer than it is read; the bound guards that memory against an answer that never ends.
-const MOST_LIST: usize = 4 << 20;
+pub const MOST_LIST: usize = 4 << 20;
 
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -197,9 +198,7 @@
             // Connecting counts, and is taken off the wait in tenths of a second.
             let connecting = self.called.get().elapsed().as_millis() as u64 / 100 * 100;
             let hold = (self.terms.hold.as_millis() as u64).saturating_sub(connecting);
-            let changes = seq.map(|seq| format!("?index={seq}&wait={hold}")).unwrap_or_default();
-            let call =
-                format!("GET /catalog/members{changes} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address.get());
+            let call = version::call(self.address.get(), *seq, hold);
             let answer = async {
                 stream.write_all(call.as_bytes()).await?;
                 http::read(&mut stream, &mut buffer, Kind::Answer, MOST_LIST).await
@@ -251,23 +250,15 @@
 
     /// Take over an answer's list; whether it was newer than ours.
     fn take(&self, list: &List, seq: &mut Option<u64>) -> Result<bool, DiscoveryError> {
-        let ours = *seq;
-        if !list.whole {
-            let base = ours.ok_or(DiscoveryError::Part)?;
-            // Changes of a version before ours build on a list that we do not have.
-            if list.seq < base {
-                warn!(self.log, "versions of the list went back"; "seq" => list.seq, "ours" => base);
-                *seq = None;
-                return Ok(false);
-            }
+        let taken = version::taken(list, *seq, self.terms.pushed)?;
+        if taken.back {
+            warn!(self.log, "versions of the list went back"; "seq" => list.seq, "ours" => *seq);
         }
-        // An agent may answer each call with all that it has.
-        let same = self.terms.pushed && ours == Some(list.seq);
-        if (list.whole && !same) || (!list.whole && !list.hosts.is_empty()) {
-            self.apply(list, if list.whole { News::Full } else { News::Delta });
+        if let Some(news) = taken.news {
+            self.apply(list, news);
         }
-        *seq = Some(list.seq);
-        Ok(ours != Some(list.seq))
+        *seq = taken.seq;
+        Ok(taken.newer)
     }
 
     async fn connect(&self) -> Result<Async<TcpStream>, DiscoveryError> {
