--- a/tests/scale_control/main.rs
+++ b/tests/scale_control/main.rs
@@ -6,3 +6,4 @@
 
 mod days;
 mod idle;
+mod version;
--- /dev/null
+++ b/tests/scale_control/version.rs
@@ -0,0 +1,46 @@
+//! What an answer of discovery means against the version that is held.
+use marlgap::interface::News;
+use marlgap::net::discovery::version::{call, taken, Taken};
+use marlgap::net::discovery::{DiscoveryError, List};
+
+fn list(seq: u64, whole: bool, hosts: usize) -> String {
+    let host = r#"{"host":"s","dial":"10.0.0.1:1","health":"up"}"#;
+    let hosts = vec![host; hosts].join(",");
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{hosts}]}}"#)
+}
+
+/// The version held afterwards, how its entries are handed on, whether it was newer, and whether versions went back.
+type Meaning = (Option<u64>, Option<News>, bool, bool);
+
+fn meaning(text: &str, ours: Option<u64>, pushed: bool) -> Result<Meaning, DiscoveryError> {
+    let list: List = serde_json::from_str(text).expect("a list");
+    taken(&list, ours, pushed).map(|Taken { seq, news, newer, back }| (seq, news, newer, back))
+}
+
+#[test]
+fn an_answer_is_taken_by_the_version_that_is_held() {
+    let cases = [
+        (list(5, true, 1), None, false, (Some(5), Some(News::Full), true, false)),
+        (list(5, true, 1), Some(5), false, (Some(5), Some(News::Full), false, false)),
+        // An agent gives all that it has each time.
+        (list(5, true, 1), Some(5), true, (Some(5), None, false, false)),
+        (list(6, false, 1), Some(5), false, (Some(6), Some(News::Delta), true, false)),
+        (list(5, false, 0), Some(5), false, (Some(5), None, false, false)),
+        (list(4, false, 1), Some(5), false, (None, None, false, true)),
+        // A whole list of an older version is another discovery's.
+        (list(4, true, 1), Some(5), false, (Some(4), Some(News::Full), true, false)),
+    ];
+    for (text, ours, pushed, expected) in cases {
+        assert_eq!(meaning(&text, ours, pushed).expect("taken"), expected, "{text} over {ours:?}");
+    }
+    assert!(matches!(meaning(&list(5, false, 1), None, false), Err(DiscoveryError::Part)));
+}
+
+#[test]
+fn a_call_asks_for_the_whole_list_or_for_what_came_after_a_version() {
+    let address = ([10, 0, 0, 2], 8500).into();
+    let whole = "GET /catalog/members HTTP/1.1\r\nHost: 10.0.0.2:8500\r\n\r\n";
+    assert_eq!(call(address, None, 2000), whole);
+    let changes = "GET /catalog/members?index=41&wait=2000 HTTP/1.1\r\nHost: 10.0.0.2:8500\r\n\r\n";
+    assert_eq!(call(address, Some(41), 2000), changes);
+}
