--- a/benches/scale/control/mod.rs
+++ b/benches/scale/control/mod.rs
@@ -109,7 +109,7 @@
     rows(report, sweeps::works_a_member(options.scaled(100.0, LEAST) as usize, &[1, 2, 4, 8, 16]));
     let mut findings = days::zone_works(most as usize, 4);
     findings.extend(days::region_works(most as usize, 4));
-    told(report, most, COORDINATORS, findings);
+    told(report, most, most, findings);
 }
 
 fn founding(options: &Options, report: &mut Report) {
--- a/benches/scale/control/plane/sweeps/together.rs
+++ b/benches/scale/control/plane/sweeps/together.rs
@@ -22,11 +22,14 @@
 const BUSY: Spec =
     Spec { figure: "renewals, processor", unit: "core", exact: false, bound: Some(CORE), ..BASE };
 
+/// Works in hand at a member: 212.5 queries a second that take 74 ms.
+const MOST_WORKS: f64 = 16.0;
+
 fn load(sweeps: &mut Sweeps, size: f64, axis: &'static str, note: &'static str, count: usize, works: u64) {
     let Ok(mut workers) = Workers::new(count, works, SEED) else { return };
     workers.run(2 * SECOND);
     let load = workers.load(2 * SECOND);
-    let target = if axis == BASE.axis { BASE.target } else { size };
+    let target = if axis == BASE.axis { BASE.target } else { MOST_WORKS };
     let spec = |spec: Spec| Spec { axis, note, target, ..spec };
     sweeps.point(&spec(BASE), size, load.bytes);
     sweeps.point(&spec(MESSAGES), size, load.messages);
@@ -47,12 +50,10 @@
 pub fn works_a_member(count: usize, works: &[u64]) -> Sweeps {
     const AXIS: &str = "works in hand at each member";
     const NOTE: &str = "all members, groups of 3, lease 300 ms; nothing else goes on";
-    let most = works.iter().copied().max().unwrap_or(1) as f64;
     let mut sweeps = Sweeps::default();
     for n in works.iter().copied() {
         load(&mut sweeps, n as f64, AXIS, NOTE, count, n);
     }
-    sweeps.0.iter_mut().for_each(|s| s.spec.target = most);
     sweeps
 }
 
