Draw, refuse and ration by what seldom-met data nodes show

What a data node took fades in 2 s and is met every 5 to 9 s; attempts that end unanswered told nothing of it. - A query whose expected time is just its aim is begun, and ends late with its work done.

Change (balance/draw.rs, pace.rs, settle.rs, attempts.rs; Report gains `rate`): - A tie goes by response times where no load is reported; these last for two meetings, the newest weighs the more the older the last is, and an attempt that ends unanswered shows at least how long it was out. Where data nodes are met seldom, the pair is the faster half of four drawn. - A cold one's share goes by the 90th percentile of the rates that warm ones report over their mean (1 to 3), and what it earns until our next query counts. - Where data nodes are met seldom, a query has to have twice its expected time left.

--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -117,7 +117,7 @@
             return;
         }
         let pair = self.draw(in_class, shard, &tried);
-        let fresh = |r: &Replica| self.now - r.took_at < STALE && r.took <= self.pace.tail;
+        let fresh = |r: &Replica| self.now - r.took.at < STALE && r.took.value <= self.pace.tail;
         let good = |id: &ReplicaId| !busy.contains(id) && (!blind || fresh(&self.replicas[id]));
         if let Some(replica) = self.shorter(&pair).filter(good) {
             if crowded {
@@ -147,9 +147,12 @@
             if outcome == Outcome::Served && took.is_finite() && !flight.streams {
                 self.measure(replica, took);
             }
+            if matches!(outcome, Outcome::Cancelled | Outcome::TimedOut) && took.is_finite() {
+                self.unanswered_for(replica, took);
+            }
             self.steer(part, outcome);
             self.judge(replica, outcome, took, flight);
-            self.testify(part, replica, outcome);
+            self.note_outcome(part, replica, outcome);
             self.cancel_copies(replica);
         }
         let Some(p) = self.parts.get_mut(&part) else { return };
--- a/src/balance/blame.rs
+++ b/src/balance/blame.rs
@@ -78,11 +78,6 @@
         }
     }
 
-    /// Seconds between two sends of ours to one replica.
-    pub(super) fn between(&mut self) -> f64 {
-        RECENT * self.fleet.ready / self.recent.sends.count(self.now - RECENT).max(1.0)
-    }
-
     /// The one place for blame. A failure counts against the class alone while the replica lately served
     /// another, else against the replica; a broken connection always does.
     fn blame(&mut self, id: ReplicaId, flight: Flight, gain: f64, whole: bool) {
@@ -100,17 +95,6 @@
         }
     }
 
-    /// Guards against queries that bring down whatever begins their parts: it ends once several replicas
-    /// broke and hardly any served it.
-    pub(super) fn testify(&mut self, part: PartId, replica: ReplicaId, outcome: Outcome) {
-        let number = self.parts.get(&part).map(|p| p.number);
-        let Some(q) = number.and_then(|n| self.queries.get_mut(&n)) else { return };
-        q.served += u32::from(outcome == Outcome::Served);
-        if outcome == Outcome::Reset && !q.broke.contains(&replica) {
-            q.broke.push(replica);
-        }
-    }
-
     /// Seen deaths make queries of many parts suspect: each tries one part first, so that a deadly one breaks
     /// one replica only.
     pub(crate) fn on_probation(&self, query: &Query) -> bool {
--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -1,9 +1,12 @@
 //! Who may be drawn for a part, and which of two gets it.
 use super::*;
 
-/// Share of the told multiple that we use of a cold replica: a simulated fleet came to 93% of the rule's
-/// limit, at 1.0 to 96%. At nine tenths of full warm ones four deviations are left (`docs/acceptance.md`).
+/// Share of the told multiple that we use of a cold replica; the room left for chance: `docs/acceptance.md`.
 const COLD_CAUTION: f64 = 0.85;
+/// Replicas that are drawn where each is met seldom: the fastest two of them are the pair.
+const DRAWN_SELDOM: usize = 4;
+/// Steps of response times that a tie goes by, to the typical one.
+const TIES: f64 = 4.0;
 
 impl Balancer {
     /// Reported queue, else parts in flight reported, else our own parts there.
@@ -23,14 +26,6 @@
         (told + r.out.values().filter(|f| counts(f.sent, since)).count() as f64).round() as i64
     }
 
-    /// Every answer refreshes its replica's entry.
-    pub(super) fn hear(&mut self, id: ReplicaId, report: Option<Report>) {
-        if let (Some(r), Some(report)) = (self.replicas.get_mut(&id), report) {
-            (r.report, r.heard) = (report, self.now);
-            self.census.hear(id, r.load(), self.now);
-        }
-    }
-
     pub(super) fn idle(&self, id: ReplicaId) -> bool {
         self.replicas.get(&id).is_some_and(|r| match r.load() {
             None => self.now - r.used < STALE && r.out.values().all(|f| f.sent == self.now),
@@ -69,6 +64,12 @@
             pair.swap(i, (self.rng.next_u64() % (i as u64 + 1)) as usize);
         }
         pair.sort_by_key(|id| (!self.has_room(*id), !self.due(*id)));
+        if self.fleet.thin {
+            let first = |id| self.has_room(id) || self.due(id);
+            let took = |id: &ReplicaId| if first(*id) { 0.0 } else { self.usual_time(*id) };
+            pair.truncate(DRAWN_SELDOM);
+            pair.sort_by(|a, b| took(a).total_cmp(&took(b)));
+        }
         pair.truncate(2);
         pair
     }
@@ -78,9 +79,9 @@
     pub(super) fn shorter(&self, pair: &[ReplicaId]) -> Option<ReplicaId> {
         let key = |id: &ReplicaId| {
             let r = &self.replicas[id];
-            let busy = match self.s.reports {
-                Reports::Inline => 4.0 * r.report.busy.unwrap_or(0.0),
-                _ => 2.0 * self.usual_time(*id) / self.pace.typical.max(1e-6),
+            let busy = match (self.s.reports, r.report.busy) {
+                (Reports::Inline, Some(busy)) => 4.0 * busy,
+                _ => TIES * self.usual_time(*id) / self.pace.typical.max(1e-6),
             } as i64;
             (self.queue(*id), !self.has_room(*id), !self.due(*id), busy, r.listed.zone != self.s.zone)
         };
@@ -94,10 +95,11 @@
         let served = std::mem::take(&mut self.fleet.borne) / warm;
         let span = RECENT.min(now - self.born).max(rule.after);
         self.fleet.window = self.recent.borne.count(now - RECENT) / warm * rule.after / span;
+        let headroom = self.headroom();
         let earns = served > 0.0 && now >= self.born + rule.after;
         for id in self.census.cold(earns) {
             let Some(r) = self.replicas.get_mut(&id) else { continue };
-            let share = COLD_CAUTION * r.stands(now, rule);
+            let share = COLD_CAUTION * r.stands(now, rule) * headroom;
             r.earned = (r.earned + share * served).min((share * self.fleet.window).max(1.0 - r.phase));
         }
     }
@@ -106,10 +108,13 @@
     /// Both are rounded at random, so that the sum of all keeps to the rule.
     fn cold_room(&mut self, id: ReplicaId) -> bool {
         let (Some(rule), now) = (self.s.cold, self.now) else { return true };
+        let (headroom, pause) = (self.headroom(), self.pause());
         let Some(r) = self.replicas.get_mut(&id) else { return false };
-        let share = COLD_CAUTION * r.stands(now - rule.after / 2.0, rule) * self.fleet.window;
+        let share = COLD_CAUTION * r.stands(now - rule.after / 2.0, rule) * headroom * self.fleet.window;
         let sent = r.sent.count(now - rule.after) + 1.0;
-        let room = r.earned >= 1.0 - r.phase && sent <= (share + r.phase).floor().max(1.0);
+        // What it earns until our next query counts: it would be sent a pause late each time.
+        let room = r.earned + share / rule.after * pause >= 1.0 - r.phase
+            && sent <= (share + r.phase).floor().max(1.0);
         room || r.cold_since(now, self.s.cold).is_none()
     }
 
--- a/src/balance/members.rs
+++ b/src/balance/members.rs
@@ -29,11 +29,6 @@
         self.census.forget_gone(&mut self.replicas, |gone| self.now - gone >= FORGET);
     }
 
-    /// Replicas that are remembered.
-    pub fn known(&self) -> usize {
-        self.replicas.len()
-    }
-
     /// A replica with a new start is a new process: what was held against the old one is dropped.
     fn list(&mut self, entry: &Listed) {
         if entry.phase == Phase::Gone && !self.replicas.contains_key(&entry.replica) {
@@ -61,11 +56,4 @@
             self.out.push(Action::Subscribe);
         }
     }
-
-    pub(super) fn holders(&self, shard: ShardId) -> Vec<ReplicaId> {
-        let cells = self.s.cells;
-        let row = (0..self.s.reach.min(cells)).map(|j| (shard.0 % cells + j) % cells);
-        let held = row.flat_map(|cell| self.census.cell(cell));
-        held.filter(|id| self.replicas[id].ready()).collect()
-    }
 }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -21,7 +21,7 @@
 use crate::state::*;
 
 /// Seconds that 'recent' means for copies, retries, rates and tenants: long enough to average a burst.
-const RECENT: f64 = 5.0;
+pub(crate) const RECENT: f64 = 5.0;
 /// Without a told budget, attempts beyond the first stay within so many, plus a share of recent arrivals.
 const OWN_BUDGET: Budget = Budget { free: 5.0, share: 0.2, window: RECENT };
 /// Seconds after which news of a replica is stale: it counts at the average queue and not as idle.
@@ -34,7 +34,7 @@
 const SWEEP: f64 = 0.02;
 const END_MARGIN: f64 = 0.01;
 /// Weight of the newest sample in slow averages, and step of the tail estimate as a share of itself.
-const GAIN: f64 = 0.05;
+pub(crate) const GAIN: f64 = 0.05;
 /// Probes stay under this share of recent parts; seconds between probes of one replica at least.
 const PROBE_SHARE: f64 = 0.1;
 const PROBE_EVERY: f64 = 0.3;
@@ -110,7 +110,8 @@
         self.fleet.average = self.census.average();
         self.fleet.warm = self.census.warm().max(1) as f64;
         self.earn();
-        self.fleet.thin = self.between() > SELDOM;
+        self.fleet.between = self.between();
+        self.fleet.thin = self.fleet.between > SELDOM;
         self.fleet.seldom = now > self.born + RECENT && self.fleet.thin;
         let late = now - self.pace.typical;
         let owing = if self.pace.served < late { self.flights.owing(late) as f64 } else { 0.0 };
--- a/src/balance/pace.rs
+++ b/src/balance/pace.rs
@@ -12,27 +12,48 @@
 const WIDER: f64 = 0.45;
 const WIDE: usize = 24;
 const STEPS_STRETCH: f64 = 1.5;
-/// Weight of the newest response time of a replica in its usual one, and seconds in which that half fades.
-const TOOK_GAIN: f64 = 0.3;
+/// Least and largest weight of the newest response time of a replica in its usual one; the least seconds, and the
+/// meetings with it, in which half of that is forgotten.
+const TOOK_WEIGHT: [f64; 2] = [0.3, 0.7];
 const TOOK_HALF: f64 = 2.0;
+const TOOK_MEETINGS: f64 = 2.0;
+/// The most that reported rates may say. Guards against odd reports.
+const MOST_HEADROOM: f64 = 3.0;
 
 impl Balancer {
     /// Response times of the whole fleet, by which each replica and each part is judged.
     pub(super) fn measure(&mut self, id: ReplicaId, took: f64) {
-        let usual = self.usual_time(id);
-        if let Some(r) = self.replicas.get_mut(&id) {
-            (r.took, r.took_at) = (usual + TOOK_GAIN * (took - usual), self.now);
-        }
+        let (clock, replica) = (self.memory(), self.replicas.get_mut(&id));
+        replica.into_iter().for_each(|r| r.took.take(took, clock, TOOK_WEIGHT));
         self.pace.tail *= 1.0 + GAIN * if took < self.pace.tail { -0.1 } else { 0.9 };
         self.pace.typical += GAIN * (took - self.pace.typical);
         let delay = self.delay_now();
         (self.pace.delay, self.pace.served) = (delay + DELAY_GAIN * (took - delay), self.now);
     }
 
+    /// A replica answered nothing for so long, so it takes that at least. Guards against knowing those that are
+    /// jammed by the few answers that were still waited for.
+    pub(super) fn unanswered_for(&mut self, id: ReplicaId, waited: f64) {
+        let (now, usual) = (self.now, self.usual_time(id));
+        let replica = self.replicas.get_mut(&id).filter(|_| waited > usual);
+        replica.into_iter().for_each(|r| r.took = Fading { value: waited, at: now });
+    }
+
+    /// What a warm replica serves at its most, over what one serves in the mean: capacity is not told, and the
+    /// upper part of the rates that they report bounds it from below. One where no rates are reported.
+    pub(super) fn headroom(&self) -> f64 {
+        self.fleet.rates.ratio().clamp(1.0, MOST_HEADROOM)
+    }
+
+    /// Now, the half-life of a replica's response time, which has to last until its next meetings, and the base.
+    fn memory(&self) -> (f64, f64, f64) {
+        (self.now, (TOOK_MEETINGS * self.fleet.between).max(TOOK_HALF), self.pace.typical)
+    }
+
     /// Response time of a replica as last seen; without news it fades into the typical one.
     pub(super) fn usual_time(&self, id: ReplicaId) -> f64 {
-        let (typical, r) = (self.pace.typical, &self.replicas[&id]);
-        typical + (r.took - typical) * 0.5f64.powf((self.now - r.took_at) / TOOK_HALF)
+        let (now, half_life, typical) = self.memory();
+        self.replicas[&id].took.now(now, half_life, typical)
     }
 
     /// The present response time of parts. Without news it decays: refusals keep it from being measured.
@@ -50,8 +71,12 @@
     }
 
     pub(super) fn query_now(&self) -> f64 {
-        let pause = RECENT / (self.recent.taken.len() - self.recent.arrived.len()).max(1.0);
-        self.pace.query * 0.5f64.powf((self.now - self.pace.ended) / (QUERY_PAUSES * pause))
+        self.pace.query * 0.5f64.powf((self.now - self.pace.ended) / (QUERY_PAUSES * self.pause()))
+    }
+
+    /// Seconds between two queries of ours.
+    pub(super) fn pause(&self) -> f64 {
+        RECENT / (self.recent.taken.len() - self.recent.arrived.len()).max(1.0)
     }
 }
 
--- a/src/balance/settle.rs
+++ b/src/balance/settle.rs
@@ -3,6 +3,8 @@
 
 /// Slack of sums of weights.
 const ROUNDING: f64 = 5e-5;
+/// How many times its expected time a query has to have left, where that is known of few queries: half take longer.
+const SELDOM_MARGIN: f64 = 2.0;
 
 impl Balancer {
     /// Answer the query, or its step, at once when it is whole; in part when waiting would miss the aim, or
@@ -25,7 +27,8 @@
         let due = over || self.now >= query.aim - reserve || hope <= share + ROUNDING;
         let begun = !first || held.iter().any(|p| !p.attempts.is_empty());
         // Not begun, and it cannot be done within its aim as parts go now.
-        let takes = wide(held.len()) * self.expected(&class);
+        let margin = if self.fleet.seldom { SELDOM_MARGIN } else { 1.0 };
+        let takes = margin * wide(held.len()) * self.expected(&class);
         let hopeless = !begun && query.aim > self.now && self.now + takes > query.aim;
         let streams = held.iter().any(|p| p.over && p.out());
         let worthless = first && self.now > query.aim && class.late_worth <= 0.0 && !streams;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -121,6 +121,8 @@
     pub busy: Option<f64>,
     /// Recent service time without waiting, in seconds.
     pub service: Option<f64>,
+    /// Requests served a second, of all co-ordinators together.
+    pub rate: Option<f64>,
 }
 
 /// How an attempt ended.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -98,6 +98,7 @@
             ReportValue::InFlight => out.in_flight = value,
             ReportValue::Busy => out.busy = value,
             ReportValue::ServiceMs => out.service = value.map(|ms| ms / 1000.0),
+            ReportValue::Rate => out.rate = value,
             ReportValue::Other => {}
         }
     }
@@ -111,6 +112,7 @@
     InFlight,
     Busy,
     ServiceMs,
+    Rate,
     Other,
 }
 
@@ -182,6 +184,7 @@
             Some("concurrent") => ReportValue::InFlight,
             Some("load_share") => ReportValue::Busy,
             Some("mean_ms") => ReportValue::ServiceMs,
+            Some("tps") => ReportValue::Rate,
             _ => ReportValue::Other,
         });
     }
--- a/src/state/look.rs
+++ b/src/state/look.rs
@@ -1,7 +1,7 @@
 //! What keeps the sums and indexes of a [`Balancer`] up to date as things happen, and the order in which a round
 //! comes to the open queries. Decides nothing: how a query is settled and what it sends is `src/balance/`'s.
 use super::{Flight, Part, Query, Verdict};
-use crate::balance::HEDGE_TAIL;
+use crate::balance::{GAIN, HEDGE_TAIL, RECENT};
 use crate::interface::*;
 use crate::Balancer;
 
@@ -23,6 +23,45 @@
         self.agenda.touch(number);
     }
 
+    /// Every answer refreshes its replica's entry; the rates of warm ones tell what one of these can serve.
+    pub(crate) fn hear(&mut self, id: ReplicaId, report: Option<Report>) {
+        let (Some(r), Some(report)) = (self.replicas.get_mut(&id), report) else { return };
+        (r.report, r.heard) = (report, self.now);
+        self.census.hear(id, r.load(), self.now);
+        let warm = r.cold_since(self.now, self.s.cold).is_none();
+        if let Some(rate) = report.rate.filter(|rate| warm && *rate > 0.0) {
+            self.fleet.rates.take(rate, GAIN);
+        }
+    }
+
+    /// Parts of a query that were served, and the replicas that broke over them.
+    pub(crate) fn note_outcome(&mut self, part: PartId, replica: ReplicaId, outcome: Outcome) {
+        let number = self.parts.get(&part).map(|p| p.number);
+        let Some(q) = number.and_then(|n| self.queries.get_mut(&n)) else { return };
+        q.served += u32::from(outcome == Outcome::Served);
+        if outcome == Outcome::Reset && !q.broke.contains(&replica) {
+            q.broke.push(replica);
+        }
+    }
+
+    /// Seconds between two sends of ours to one replica.
+    pub(crate) fn between(&mut self) -> f64 {
+        RECENT * self.fleet.ready / self.recent.sends.count(self.now - RECENT).max(1.0)
+    }
+
+    /// Replicas that are remembered.
+    pub fn known(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Those that hold a shard and may be drawn.
+    pub(crate) fn holders(&self, shard: ShardId) -> Vec<ReplicaId> {
+        let cells = self.s.cells;
+        let row = (0..self.s.reach.min(cells)).map(|j| (shard.0 % cells + j) % cells);
+        let held = row.flat_map(|cell| self.census.cell(cell));
+        held.filter(|id| self.replicas[id].ready()).collect()
+    }
+
     /// Something happened to a part.
     pub(crate) fn note(&mut self, id: PartId) {
         if let Some(part) = self.parts.get_mut(&id) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod audit;
 mod census;
 mod due;
+mod estimate;
 mod flights;
 mod look;
 mod tally;
@@ -15,6 +16,7 @@
 
 pub use self::agenda::Agenda;
 pub use self::census::Census;
+pub use self::estimate::{Fading, Spread};
 pub use self::flights::Flights;
 pub use self::tally::{Recent, Tally};
 use crate::interface::*;
@@ -167,6 +169,10 @@
     pub borne: f64,
     pub window: f64,
     pub average: f64,
+    /// Seconds between two sends of ours to one replica.
+    pub between: f64,
+    /// The rates that warm ones report.
+    pub rates: Spread,
     /// Over half of them owe an answer, and none at all has come lately: it is not the replicas.
     pub stalled: bool,
     /// A replica is met less often than news of it holds: what is seen must last until the next meeting.
@@ -251,9 +257,8 @@
     pub heard: f64,
     pub probed: f64,
     pub used: f64,
-    /// Its response time as last measured, and when that was.
-    pub took: f64,
-    pub took_at: f64,
+    /// Its response time as last measured.
+    pub took: Fading,
     /// Parts that it earned as a cold one less those that we sent, and how much of one it had at random.
     pub earned: f64,
     pub phase: f64,
--- a/tests/cold_fleet/main.rs
+++ b/tests/cold_fleet/main.rs
@@ -3,6 +3,8 @@
 mod budget;
 #[path = "../common/mod.rs"]
 mod common;
+mod due;
+mod rates;
 mod world;
 
 use marlgap::interface::{ColdRule, Reports};
@@ -33,6 +35,7 @@
         failing: 0.0,
         burst: 1.5,
         reports: Reports::Off,
+        noise: None,
     }
 }
 
@@ -145,6 +148,24 @@
     hold(Case { reports: Reports::OnProbe, ..base("probes") }, 1);
 }
 
+/// Warm data nodes report the rate that they serve, late and noisy: it bounds what a cold one stands.
+#[test]
+fn reported_rates() {
+    for (coordinators, rule) in [(3, RULES[0]), (30, RULES[1]), (100, RULES[0])] {
+        for (load, noise) in [(0.4, 0.14), (0.7, 0.02), (1.0, 0.14)] {
+            let case = Case { coordinators, rule, load, cold: 0.6, noise: Some(noise), ..base("rates") };
+            hold(Case { reports: Reports::Inline, way: Way::Replaced(7.0), ..case }, 1);
+        }
+    }
+}
+
+#[test]
+fn reported_rates_under_three_hundred_coordinators() {
+    let case = Case { noise: Some(0.14), reports: Reports::Inline, way: Way::Replaced(7.0), ..full_size() };
+    hold(Case { load: 0.6, ..case.clone() }, 1);
+    hold(Case { load: 1.0, ..case }, 1);
+}
+
 fn full_size() -> Case {
     Case { coordinators: 300, nodes: 120, capacity: 12.0, cold: 0.6, load: 0.9, ..base("full size") }
 }
--- a/tests/cold_fleet/world.rs
+++ b/tests/cold_fleet/world.rs
@@ -8,6 +8,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::budget::{self, Found};
+use crate::due::{Due, What};
+use crate::rates::Done;
 
 const ROUND: f64 = 0.005;
 const BEGIN: f64 = 100.0;
@@ -48,6 +50,8 @@
     /// How much more comes in from three to eight seconds after the first start.
     pub burst: f64,
     pub reports: Reports,
+    /// How noisy the rates are that data nodes report; none where they report nothing.
+    pub noise: Option<f64>,
 }
 
 pub struct Node {
@@ -57,6 +61,8 @@
     hung: bool,
     failing: bool,
     busy: f64,
+    /// When it served what, for its reports.
+    done: Done,
     /// What it was sent since it started cold: when, and whether by a coordinator that had been told.
     pub sent: Vec<(f64, bool)>,
 }
@@ -71,31 +77,6 @@
     told: BTreeSet<(ReplicaId, u64)>,
 }
 
-/// An event to come, the soonest first.
-struct Due(f64, u64, usize, u32, What);
-
-enum What {
-    Event(Event),
-    Ask,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        self.1 == other.1
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
-        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
-    }
-}
-
 pub struct World {
     pub case: Case,
     settings: Settings,
@@ -153,7 +134,8 @@
             let listed = Listed { replica, zone, cell, phase, weight: 1.0, started: None };
             let (hung, failing) = (self.unit() < case.hung, self.unit() < case.failing);
             let (born, dead) = (f64::NEG_INFINITY, (f64::INFINITY, f64::INFINITY));
-            self.nodes.push(Node { listed, born, dead, hung, failing, busy: 0.0, sent: Vec::new() });
+            let done = Default::default();
+            self.nodes.push(Node { listed, born, dead, hung, failing, busy: 0.0, done, sent: Vec::new() });
         }
         let cold = (case.cold * case.nodes as f64).ceil() as usize;
         for n in 0..case.nodes {
@@ -165,7 +147,17 @@
                     let listed = Listed { replica, started: Some(at), ..old };
                     self.nodes[n].dead.0 = at;
                     let (hung, failing, busy, dead) = (false, false, 0.0, (f64::INFINITY, f64::INFINITY));
-                    self.nodes.push(Node { listed, born: at, dead, hung, failing, busy, sent: Vec::new() });
+                    let done = Default::default();
+                    self.nodes.push(Node {
+                        listed,
+                        born: at,
+                        dead,
+                        hung,
+                        failing,
+                        busy,
+                        done,
+                        sent: Vec::new(),
+                    });
                     self.changes.push((at, Listed { phase: Phase::Gone, ..old }));
                     self.changes.push((at, listed));
                 }
@@ -346,7 +338,10 @@
     fn end(&mut self, n: usize, part: PartId, attempt: u8, end: (f64, Outcome), replica: ReplicaId) {
         let (after, outcome) = end;
         let over = outcome == Outcome::Served;
-        let report = None;
+        let report = self.case.noise.filter(|_| over).map(|noise| {
+            let odds = self.unit();
+            self.nodes[replica.0 as usize].done.report(self.now, noise, odds)
+        });
         let event = Event::Outcome { part, attempt, replica, over, outcome, took: after, report };
         self.later(self.now + after, n, What::Event(event));
     }
@@ -369,6 +364,7 @@
             _ => {
                 node.busy = node.busy.max(now) + work / (self.case.capacity * share);
                 let done = node.busy;
+                node.done.serve(done);
                 match node.dead.0 > now && node.dead.0 < done {
                     true => (node.dead.0 - now, Outcome::Reset),
                     false => (done - now + 0.002, Outcome::Served),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod common;
 mod faults;
 mod health;
+mod seldom;
 use common::class;
 
 fn settings() -> Settings {
--- a/tests/recorded/world.rs
+++ b/tests/recorded/world.rs
@@ -259,7 +259,7 @@
         let held = self.servers[n].held as f64;
         let (queue, in_flight) =
             ((n % 3 != 1).then_some((held - 1.0).max(0.0)), (n % 5 != 1).then_some(held));
-        Report { queue, in_flight, busy: Some((held / 8.0).min(1.0)), service: None }
+        Report { queue, in_flight, busy: Some((held / 8.0).min(1.0)), ..Report::default() }
     }
 
     fn end(&mut self, query: QueryId) -> Option<()> {
