--- a/tests/round_cost/main.rs
+++ b/tests/round_cost/main.rs
@@ -103,7 +103,8 @@
     /// A round in which the part that was sent last is served.
     fn outcome(&mut self) -> usize {
         let (part, replica) = self.out.pop().expect("a part is out");
-        let report = Some(Report { queue: Some(2.0), in_flight: Some(2.0), busy: Some(0.5), ..Report::default() });
+        let report =
+            Some(Report { queue: Some(2.0), in_flight: Some(2.0), busy: Some(0.5), ..Report::default() });
         let (attempt, over, outcome, took) = (0, true, Outcome::Served, 0.01);
         self.round(vec![Event::Outcome { part, attempt, replica, over, outcome, took, report }])
     }
