--- a/benches/round.rs
+++ b/benches/round.rs
@@ -116,7 +116,8 @@
 
     fn outcome(&mut self) -> Option<f64> {
         let (part, attempt, replica) = self.out.pop_front()?;
-        let report = Some(Report { queue: Some(1.0), in_flight: Some(1.0), busy: Some(0.5), service: None });
+        let report =
+            Some(Report { queue: Some(1.0), in_flight: Some(1.0), busy: Some(0.5), ..Report::default() });
         let (over, outcome, took) = (true, Outcome::Served, 0.01);
         Some(self.round(&[Event::Outcome { part, attempt, replica, over, outcome, took, report }]))
     }
