--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -147,7 +147,8 @@
             if outcome == Outcome::Served && took.is_finite() && !flight.streams {
                 self.measure(replica, took);
             }
-            if matches!(outcome, Outcome::Cancelled | Outcome::TimedOut) && took.is_finite() {
+            let ended = matches!(outcome, Outcome::Cancelled | Outcome::TimedOut);
+            if self.fleet.thin && ended && took.is_finite() {
                 self.unanswered_for(replica, took);
             }
             self.steer(part, outcome);
--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -2,11 +2,9 @@
 use super::*;
 
 /// Share of the told multiple that we use of a cold replica; the room left for chance: `docs/acceptance.md`.
-const COLD_CAUTION: f64 = 0.85;
+const COLD_CAUTION: f64 = 0.8;
 /// Replicas that are drawn where each is met seldom: the fastest two of them are the pair.
 const DRAWN_SELDOM: usize = 4;
-/// Steps of response times that a tie goes by, to the typical one.
-const TIES: f64 = 4.0;
 
 impl Balancer {
     /// Reported queue, else parts in flight reported, else our own parts there.
@@ -64,7 +62,7 @@
             pair.swap(i, (self.rng.next_u64() % (i as u64 + 1)) as usize);
         }
         pair.sort_by_key(|id| (!self.has_room(*id), !self.due(*id)));
-        if self.fleet.thin {
+        if self.fleet.thin && pair.len() > 2 {
             let first = |id| self.has_room(id) || self.due(id);
             let took = |id: &ReplicaId| if first(*id) { 0.0 } else { self.usual_time(*id) };
             pair.truncate(DRAWN_SELDOM);
@@ -80,8 +78,8 @@
         let key = |id: &ReplicaId| {
             let r = &self.replicas[id];
             let busy = match (self.s.reports, r.report.busy) {
-                (Reports::Inline, Some(busy)) => 4.0 * busy,
-                _ => TIES * self.usual_time(*id) / self.pace.typical.max(1e-6),
+                (Reports::Inline, busy) if !self.fleet.thin || busy.is_some() => 4.0 * busy.unwrap_or(0.0),
+                _ => 2.0 * self.usual_time(*id) / self.pace.typical.max(1e-6),
             } as i64;
             (self.queue(*id), !self.has_room(*id), !self.due(*id), busy, r.listed.zone != self.s.zone)
         };
@@ -108,13 +106,13 @@
     /// Both are rounded at random, so that the sum of all keeps to the rule.
     fn cold_room(&mut self, id: ReplicaId) -> bool {
         let (Some(rule), now) = (self.s.cold, self.now) else { return true };
-        let (headroom, pause) = (self.headroom(), self.pause());
+        let pause = if now < self.born + rule.after { 0.0 } else { self.pause() };
+        let most = COLD_CAUTION * self.headroom() * self.fleet.window;
         let Some(r) = self.replicas.get_mut(&id) else { return false };
-        let share = COLD_CAUTION * r.stands(now - rule.after / 2.0, rule) * headroom * self.fleet.window;
-        let sent = r.sent.count(now - rule.after) + 1.0;
+        let share = most * r.stands(now - rule.after / 2.0, rule);
         // What it earns until our next query counts: it would be sent a pause late each time.
-        let room = r.earned + share / rule.after * pause >= 1.0 - r.phase
-            && sent <= (share + r.phase).floor().max(1.0);
+        let earned = r.earned + share / rule.after * pause >= 1.0 - r.phase;
+        let room = earned && r.sent.count(now - rule.after) + 1.0 <= (share + r.phase).floor().max(1.0);
         room || r.cold_since(now, self.s.cold).is_none()
     }
 
--- a/src/balance/pace.rs
+++ b/src/balance/pace.rs
@@ -12,42 +12,43 @@
 const WIDER: f64 = 0.45;
 const WIDE: usize = 24;
 const STEPS_STRETCH: f64 = 1.5;
-/// Least and largest weight of the newest response time of a replica in its usual one; the least seconds, and the
-/// meetings with it, in which half of that is forgotten.
+/// Weight of the newest response time of a replica in its usual one, and seconds in which half of that is
+/// forgotten; where it is met seldom, the weight is up to the second, and the time so many meetings with it.
 const TOOK_WEIGHT: [f64; 2] = [0.3, 0.7];
 const TOOK_HALF: f64 = 2.0;
-const TOOK_MEETINGS: f64 = 2.0;
+const TOOK_MEETINGS: f64 = 1.0;
 /// The most that reported rates may say. Guards against odd reports.
 const MOST_HEADROOM: f64 = 3.0;
 
 impl Balancer {
     /// Response times of the whole fleet, by which each replica and each part is judged.
     pub(super) fn measure(&mut self, id: ReplicaId, took: f64) {
-        let (clock, replica) = (self.memory(), self.replicas.get_mut(&id));
-        replica.into_iter().for_each(|r| r.took.take(took, clock, TOOK_WEIGHT));
+        let (clock, weights) = (self.memory(), [TOOK_WEIGHT[0], TOOK_WEIGHT[usize::from(self.fleet.thin)]]);
+        self.replicas.get_mut(&id).into_iter().for_each(|r| r.took.take(took, clock, weights));
         self.pace.tail *= 1.0 + GAIN * if took < self.pace.tail { -0.1 } else { 0.9 };
         self.pace.typical += GAIN * (took - self.pace.typical);
         let delay = self.delay_now();
         (self.pace.delay, self.pace.served) = (delay + DELAY_GAIN * (took - delay), self.now);
     }
 
-    /// A replica answered nothing for so long, so it takes that at least. Guards against knowing those that are
-    /// jammed by the few answers that were still waited for.
+    /// A replica answered nothing for so long, so it takes that at least. Guards against knowing jammed
+    /// ones by the few answers that were still waited for.
     pub(super) fn unanswered_for(&mut self, id: ReplicaId, waited: f64) {
         let (now, usual) = (self.now, self.usual_time(id));
         let replica = self.replicas.get_mut(&id).filter(|_| waited > usual);
         replica.into_iter().for_each(|r| r.took = Fading { value: waited, at: now });
     }
 
-    /// What a warm replica serves at its most, over what one serves in the mean: capacity is not told, and the
-    /// upper part of the rates that they report bounds it from below. One where no rates are reported.
+    /// What a warm replica serves at its most, over the mean one: capacity is not told, and the upper part of
+    /// the rates that they report bounds it from below. One where no rates are reported.
     pub(super) fn headroom(&self) -> f64 {
         self.fleet.rates.ratio().clamp(1.0, MOST_HEADROOM)
     }
 
-    /// Now, the half-life of a replica's response time, which has to last until its next meetings, and the base.
+    /// Now, the half-life of a replica's response time, which lasts until it is met again, and the base.
     fn memory(&self) -> (f64, f64, f64) {
-        (self.now, (TOOK_MEETINGS * self.fleet.between).max(TOOK_HALF), self.pace.typical)
+        let half_life = if self.fleet.thin { TOOK_MEETINGS * self.fleet.between } else { TOOK_HALF };
+        (self.now, half_life, self.pace.typical)
     }
 
     /// Response time of a replica as last seen; without news it fades into the typical one.
--- a/src/balance/settle.rs
+++ b/src/balance/settle.rs
@@ -3,7 +3,7 @@
 
 /// Slack of sums of weights.
 const ROUNDING: f64 = 5e-5;
-/// How many times its expected time a query has to have left, where that is known of few queries: half take longer.
+/// How many times its expected time a query has to have left, where that is known of few: half take longer.
 const SELDOM_MARGIN: f64 = 2.0;
 
 impl Balancer {
@@ -36,9 +36,9 @@
         let done = whole || (floor < need && share >= floor - ROUNDING && share > 0.0 && due);
         let lost = over || worthless || hope < floor - ROUNDING;
         if first && sent < self.now && (done || lost) {
-            // One that was given up took its aim at least; twice that says it all.
-            let took = (self.now - sent).clamp(if done { 0.0 } else { class.aim }, 2.0 * class.aim);
-            let took = took / wide(held.len());
+            // One that was given up took its aim at least; twice what is hopeless says it all.
+            let most = 2.0 / margin * class.aim;
+            let took = (self.now - sent).clamp(if done { 0.0 } else { class.aim }, most) / wide(held.len());
             (self.pace.query, self.pace.ended) = (0.5 * (took + self.query_now()), self.now);
         }
         if done {
