Keep the times of sends to a replica for as long as the rule on cold ones looks back

Found on reading the change once more: Replica::sent was trimmed only where a cold replica's window is counted. Without that rule it never was (14 bytes a part sent, docs/CAPACITY.md), and since the count moved behind the test of what is earned, hardly ever with it either: warm replicas earn nothing. It is trimmed where it grows now, in Balancer::send.

--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -42,7 +42,7 @@
         }
         let (sent, paused) = (self.now, paused && !reaped);
         r.used = self.now;
-        r.sent.add(self.now);
+        r.sent.keep(self.now, self.s.cold.map_or(0.0, |rule| rule.after));
         r.earned -= 1.0;
         if let Some(until) = self.fleet.rooms.get_mut(&r.listed.zone).and_then(|room| room.until.as_mut()) {
             *until = self.now + between.max(EJECT);
--- a/src/state/tally.rs
+++ b/src/state/tally.rs
@@ -11,6 +11,11 @@
     pub fn add(&mut self, now: f64) {
         self.0.push_back(now);
     }
+    /// Add one, and drop what is more than so many seconds older.
+    pub fn keep(&mut self, now: f64, seconds: f64) {
+        self.add(now);
+        self.count(now - seconds);
+    }
     /// How many there are, as last trimmed.
     pub fn len(&self) -> f64 {
         self.0.len() as f64
