--- a/tests/scale/costs.rs
+++ b/tests/scale/costs.rs
@@ -149,6 +149,23 @@
     assert_eq!((open, over, allocations), count());
 }
 
+/// What is kept of sends does not grow with their number, once the recent ones are there.
+#[test]
+fn memory_does_not_grow_with_what_was_sent() {
+    const QUERIES: u32 = 600;
+    const PARTS: u32 = 30;
+    let mut hollow = Hollow::new(&Setup::of(220.0)).expect("sound");
+    for query in 0..QUERIES {
+        hollow.counting = query >= QUERIES / 2;
+        hollow.ask(1, PARTS);
+        while hollow.open() > 0 {
+            hollow.finish(PARTS as usize, 0.05);
+        }
+    }
+    let (kept, sent) = (hollow.counts.kept, f64::from(QUERIES / 2 * PARTS));
+    assert!(kept as f64 / sent < 1.0, "{kept} bytes kept of {sent} parts");
+}
+
 #[test]
 fn few_parts_meet_few_data_nodes_and_many_meet_all() {
     let few = met(220.0, 1.0, 10).expect("sound");
