Date starts of data nodes by lists and our monotonic clock, not by the wall clock alone

What callers saw: after a restart of a coordinator on a machine whose wall clock is ahead, a data node in slow start got a full share, and the budget of calls to it was broken, by every coordinator restarted so.

Cause: `send_policy::estimate_start` believed an age off the wall clock wherever it lay between its bounds, and the bounds are wider than a ramp: none at all for the first list of a process, and the last list less 6 s for later ones.

Ruled out: the balancer, which keeps to the ramp of whatever start it is given (the tests with a clock behind).

Why this works: a start that no earlier list contained counts from the moment that our monotonic clock saw it. In the first list an age counts only as far as the newest start of that list bears it out, which can't lie in the future; our own wall clock has to agree. The list now says how uncertain a start is. Where no holder of a shard is known to be warm, those that may be serve as if they were, or a coordinator would serve nothing for a ramp after its start: the ramp gives way, the overload factor doesn't (none gets more than so many times their mean in a window). A start listed as 0 stays long ago.

Not told apart: in a first list, a data node whose own clock is behind from one that has been up for long.

--- a/benches/round.rs
+++ b/benches/round.rs
@@ -79,6 +79,7 @@
             state: EndpointState::Ready,
             weight: 1.0,
             started: None,
+            start_uncertainty: 0.0,
         }
     }
 
--- a/benches/scale/hollow.rs
+++ b/benches/scale/hollow.rs
@@ -73,6 +73,7 @@
             state: phase,
             weight: 1.0,
             started: None,
+            start_uncertainty: 0.0,
         }
     }
 
--- a/src/balancer/interface.rs
+++ b/src/balancer/interface.rs
@@ -19,7 +19,7 @@
 //!
 //! let endpoint = Endpoint {
 //!     replica: ReplicaId(7), zone: ZoneId(0), cell: CellId(0), state: EndpointState::Ready,
-//!     weight: 1.0, started: None,
+//!     weight: 1.0, started: None, start_uncertainty: 0.0,
 //! };
 //! let query = Event::Query {
 //!     query: QueryId(1), number: QueryNumber(1), class: ClassId(0), tenant: TenantId(0),
@@ -73,8 +73,10 @@
     pub state: EndpointState,
     /// Its capacity as discovery states it; no decision goes by it.
     pub weight: f64,
-    /// When it last started, in seconds, if that is known to be not long ago.
+    /// When it last started at the latest, in seconds; `None` if that was long ago.
     pub started: Option<f64>,
+    /// By how many seconds it may have started earlier than that; infinity if nothing bounds it.
+    pub start_uncertainty: f64,
 }
 
 /// What kind of list of replicas came in.
--- a/src/balancer/replica_selection.rs
+++ b/src/balancer/replica_selection.rs
@@ -64,7 +64,11 @@
         };
         let mut holders = eligible.iter().map(|id| &self.replicas[id]);
         let sound_one_backs_off = holders.any(|r| r.is_backing_off(now) && is_sound(r));
-        eligible.retain(|id| !self.replicas[id].is_backing_off(now) && self.has_slow_start_capacity(*id));
+        let uncertain = self.uncertain_replicas_to_serve(&eligible);
+        eligible.retain(|id| {
+            !self.replicas[id].is_backing_off(now)
+                && (uncertain.contains(id) || self.has_slow_start_capacity(*id))
+        });
         let badness = |id: &ReplicaId| {
             let r = &self.replicas[id];
             (self.is_zone_ejected(r), !r.is_usable(class, now), avoid.contains(id))
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -54,6 +54,29 @@
         is_within_quota || r.warming_up_since(now, self.settings.slow_start).is_none()
     }
 
+    /// Those of a shard's holders that serve as if they were warm, although they may be warming up: none where
+    /// a holder is known to be warm. Where none is, each that may be warm serves.
+    ///
+    /// The ramp gives way here, since a shard whose holders all wait for their ramps would not be served. The
+    /// overload factor does not: none of them is sent more than so many times the mean of them all in an
+    /// overload window.
+    pub(super) fn uncertain_replicas_to_serve(&mut self, holders: &[ReplicaId]) -> Vec<ReplicaId> {
+        let Some(rule) = self.settings.slow_start else { return Vec::new() };
+        let now = self.now;
+        let slow_start = self.settings.slow_start;
+        if holders.iter().any(|id| self.replicas[id].warming_up_since(now, slow_start).is_none()) {
+            return Vec::new();
+        }
+        let mut sent = Vec::new();
+        for id in holders {
+            let Some(r) = self.replicas.get_mut(id).filter(|r| r.may_be_warm(now, rule)) else { continue };
+            sent.push((*id, r.recent_sends.count_since(now - rule.overload_window)));
+        }
+        let mean = sent.iter().map(|(_, count)| count).sum::<f64>() / sent.len().max(1) as f64;
+        let most = rule.overload_factor.max(1.0) * mean;
+        sent.into_iter().filter(|(_, count)| *count <= most).map(|(id, _)| id).collect()
+    }
+
     /// Whether a replica that is warming up comes first in a choice. Where traffic is sparse, it would miss
     /// its share if it were chosen by chance, and all that restarted would later spend their credit at once.
     pub(super) fn is_slow_start_turn(&self, id: ReplicaId) -> bool {
--- a/src/balancer/state/replica.rs
+++ b/src/balancer/state/replica.rs
@@ -84,6 +84,14 @@
         self.endpoint.started.filter(|start| slow_start.is_some_and(|rule| now - start < rule.ramp))
     }
 
+    /// Whether it may be past its ramp although it is taken to be warming up: how long it has been running is
+    /// not known.
+    pub fn may_be_warm(&self, now: f64, slow_start: SlowStart) -> bool {
+        let endpoint = &self.endpoint;
+        let age = endpoint.started.map_or(f64::INFINITY, |start| now - start + endpoint.start_uncertainty);
+        age >= slow_start.ramp
+    }
+
     /// How many times the throughput of a warm replica it stands at a time: the overload factor times its
     /// capacity, which grows evenly over the ramp.
     pub fn ramp_factor(&self, at: f64, rule: SlowStart) -> f64 {
--- a/src/net/data_nodes/mod.rs
+++ b/src/net/data_nodes/mod.rs
@@ -34,7 +34,7 @@
 use super::LogRateLimiter;
 use crate::balancer::interface::{EndpointState, ReplicaId};
 use crate::config::settings::Deployment;
-use crate::send_policy;
+use crate::send_policy::{self, StartEstimate};
 use connection::Connection;
 pub use request_context::RequestContext;
 
@@ -60,8 +60,8 @@
     incarnation: u64,
     /// When its process started, in Unix milliseconds on its machine's wall clock; 0 means long ago.
     start_unix_ms: u64,
-    /// When that was on the coordinator's own clock, in seconds.
-    started: Option<f64>,
+    /// When that was on the coordinator's own clock.
+    started: Option<StartEstimate>,
     connections: Vec<Rc<Connection>>,
 }
 
@@ -167,12 +167,12 @@
     }
 
     /// The same. `started` is called when a start is listed for the first time, and says when it was on the
-    /// coordinator's own clock, in seconds; that stays until the next start, and is returned with the id.
+    /// coordinator's own clock; that stays until the next start, and is returned with the id.
     pub fn register_with_start(
         &self,
         entry: &ListedDataNode,
-        started: impl FnOnce() -> Option<f64>,
-    ) -> (ReplicaId, Option<f64>) {
+        started: impl FnOnce() -> Option<StartEstimate>,
+    ) -> (ReplicaId, Option<StartEstimate>) {
         let id = self.replica_id(&entry.name);
         let mut nodes = self.nodes.borrow_mut();
         let node = nodes.entry(id).or_insert_with(|| DataNode {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -28,7 +28,7 @@
 use super::LogRateLimiter;
 use crate::balancer::interface::{self, CellId, Endpoint, EndpointState, EndpointUpdate, ZoneId};
 use crate::coordinator::{Clock, Coordinator};
-use crate::send_policy::{self, StartObservation};
+use crate::send_policy::{ListedStart, StartEstimator};
 use crate::subsetting::{self, Subset};
 pub use list::{DiscoveryError, EndpointList, ListedEndpoint};
 use watch_policy::WatchPolicy;
@@ -53,8 +53,8 @@
     policy: WatchPolicy,
     /// When the last call started, its connect included.
     last_call_started: Cell<Instant>,
-    /// When the current address last answered with a list, or that nothing changed.
-    last_list: Cell<Option<Instant>>,
+    /// Dates the starts of data nodes by the lists of the current address.
+    starts: RefCell<StartEstimator>,
     /// Additional time for an agent's answer, after one that had begun was cut off.
     slow_answer_slack: Cell<Duration>,
     /// Those of the listed data nodes that this coordinator works with.
@@ -83,7 +83,7 @@
             zones,
             policy: WatchPolicy::for_discovery(mode),
             last_call_started: Cell::new(Instant::now()),
-            last_list: Cell::new(None),
+            starts: RefCell::default(),
             slow_answer_slack: Cell::default(),
             subset: RefCell::new(Subset::new(seed, subsetting::SUBSET_SIZE)),
             log_limiter: LogRateLimiter::default(),
@@ -94,6 +94,8 @@
     /// Apply a list: to the connections first, whose writes it may stop, then to the balancer.
     pub fn apply(&self, list: &EndpointList, update: EndpointUpdate) {
         let clock = self.coordinator.clock();
+        let starts = list.endpoints.iter().filter_map(|listed| listed_start(listed, &clock));
+        self.starts.borrow_mut().observe(starts, clock.at(Instant::now()));
         let endpoints: Vec<Endpoint> =
             list.endpoints.iter().filter_map(|listed| self.endpoint(listed, &clock)).collect();
         let complete = update != EndpointUpdate::Delta;
@@ -129,10 +131,8 @@
             start_unix_ms: listed.start_unix_ms,
         };
         let (replica, started) = self.data_nodes.register_with_start(&entry, || {
-            let by_wall_clock = clock.from_unix_ms(listed.start_unix_ms)?;
-            let now = clock.at(Instant::now());
-            let last_list_without = self.last_list.get().map(|at| clock.at(at));
-            Some(send_policy::estimate_start(StartObservation { by_wall_clock, now, last_list_without }))
+            let start = listed_start(listed, clock)?;
+            Some(self.starts.borrow().estimate(start, clock.at(Instant::now())))
         });
         let zone = self.zones.iter().position(|zone| *zone == listed.zone);
         Some(Endpoint {
@@ -141,7 +141,14 @@
             cell: CellId(listed.cell),
             state,
             weight: listed.weight,
-            started,
+            started: started.map(|start| start.latest),
+            start_uncertainty: started.map_or(0.0, |start| start.uncertainty),
         })
     }
 }
+
+/// The start that a list gives for a data node; `None` for one long ago.
+fn listed_start(listed: &ListedEndpoint, clock: &Clock) -> Option<ListedStart> {
+    let by_wall_clock = clock.from_unix_ms(listed.start_unix_ms)?;
+    Some(ListedStart { unix_ms: listed.start_unix_ms, by_wall_clock })
+}
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -95,7 +95,7 @@
             if let Some(address) = moved_to.take().filter(|address| *address != self.address.get()) {
                 // Versions of another address mean nothing here: its complete list is asked for.
                 self.address.set(address);
-                self.last_list.set(None);
+                self.starts.borrow_mut().change_source();
                 seq = None;
             }
             // What has arrived on the watch is applied before it is left.
@@ -271,7 +271,7 @@
             self.apply(list, update);
         }
         *seq = interpreted.seq;
-        self.last_list.set(Some(Instant::now()));
+        self.starts.borrow_mut().finish_list(self.coordinator.clock().at(Instant::now()));
         Ok(interpreted.is_new_version)
     }
 
--- a/src/net/dns_sd/registry.rs
+++ b/src/net/dns_sd/registry.rs
@@ -61,6 +61,7 @@
                 weight: server.weight,
                 // A start in the future is that of a wall clock that disagrees with ours.
                 started: clock.from_unix_ms(server.start_unix_ms).map(|at| at.min(now)),
+                start_uncertainty: 0.0,
             });
         }
         (endpoints, changes)
--- a/src/send_policy/mod.rs
+++ b/src/send_policy/mod.rs
@@ -1,8 +1,8 @@
 //! The last check before anything irreversible: whether an attempt may be sent or repeated, whether a
 //! client's connection may be closed, and since when a replica has been running.
 //!
-//! Each rule stands here once, as a pure function: no I/O, no clock, no state between calls. Whoever writes
-//! bytes asks here immediately before, and reports back when it is done. A denial is ordinary. A
+//! Each rule stands here once, without I/O or clock, and without state between calls but for what earlier
+//! lists tell of starts. Whoever writes bytes asks here immediately before, and reports back when it is done. A denial is ordinary. A
 //! [`Violation`] is a broken invariant; [`crate::net::invariants`] counts both.
 //!
 //! Invariants:
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 pub use connection_close::{check_close, CloseConditions};
-pub use replica_start::{estimate_start, is_restart, StartObservation};
+pub use replica_start::{is_restart, ListedStart, StartEstimate, StartEstimator};
 pub use send::{SendConditions, SendDenied, SendPermit, MAX_FRAME_WRITE_TIME, MAX_PROCESS_STALL};
 
 /// A broken invariant of this module.
--- a/src/simulator_wire/event.rs
+++ b/src/simulator_wire/event.rs
@@ -77,6 +77,7 @@
         state,
         weight: entry.f32(11),
         started: Some(entry.f64(15)).filter(|started| *started > 0.0 && started.is_finite()),
+        start_uncertainty: 0.0,
     })
 }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,3 +6,4 @@
 mod ordinary;
 mod rig;
 mod sparse;
+mod uncertain_starts;
--- /dev/null
+++ b/tests/decisions/uncertain_starts.rs
@@ -0,0 +1,80 @@
+//! Replicas whose starts can't be dated, as just after our own start on a machine whose clock may be wrong.
+use std::collections::BTreeMap;
+
+use marlgap::balancer::interface::{Endpoint, Outcome, ReplicaId, Settings, SlowStart};
+
+use crate::rig::{full_list, ready, sends, settings, NewQuery, Rig};
+
+const RULE: SlowStart =
+    SlowStart { initial_capacity: 0.1, ramp: 10.0, overload_factor: 2.0, overload_window: 1.0 };
+
+/// Seconds between two queries of [`Rig::sends_each`].
+const INTERVAL: f64 = 0.05;
+
+/// A list of replicas of one cell: since when each may have been running, in seconds, or that it is warm.
+fn rig(uncertainties: &[Option<f64>]) -> Rig {
+    let mut rig = Rig::new(Settings { slow_start: Some(RULE), ..settings() }, 0);
+    let now = rig.now;
+    let listed = |(n, uncertainty): (u64, &Option<f64>)| Endpoint {
+        started: uncertainty.map(|_| now),
+        start_uncertainty: uncertainty.unwrap_or(0.0),
+        ..ready(n, 0)
+    };
+    rig.round(&[full_list((0..).zip(uncertainties).map(listed).collect())]);
+    rig
+}
+
+/// How many parts each replica gets of so many queries of one part, which are answered with these queues.
+fn sends_each(rig: &mut Rig, queries: u32, queue: impl Fn(ReplicaId) -> f64) -> BTreeMap<ReplicaId, u32> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..queries {
+        let mut sent = sends(&rig.send(&NewQuery::on([0])));
+        sent.extend(sends(&rig.wait(INTERVAL)));
+        for replica in sent {
+            *counts.entry(replica).or_default() += 1;
+        }
+        while let Some(last) = rig.in_flight.last() {
+            let depth = queue(last.replica);
+            rig.finish(rig.in_flight.len() - 1, Outcome::Succeeded, Some(depth));
+        }
+    }
+    counts
+}
+
+/// Guards against a shard that is not served for a ramp after our start.
+#[test]
+fn a_shard_whose_replicas_all_may_be_warm_is_served_as_if_they_were() {
+    let mut rig = rig(&[Some(f64::INFINITY), Some(RULE.ramp), Some(f64::INFINITY)]);
+    let counts = sends_each(&mut rig, 60, |_| 1.0);
+    assert_eq!(counts.values().sum::<u32>(), 60, "{counts:?}");
+    assert!(counts.values().all(|sent| (10..=30).contains(sent)) && counts.len() == 3, "{counts:?}");
+}
+
+/// Guards against a rush on one replica while the ramp gives way.
+#[test]
+fn no_replica_that_may_be_warm_gets_more_than_the_overload_factor_times_their_mean() {
+    let mut rig = rig(&[Some(f64::INFINITY); 3]);
+    // In a window of 20 queries 13 at the most: twice the mean.
+    let counts = sends_each(&mut rig, 200, |replica| if replica == ReplicaId(1) { 0.0 } else { 9.0 });
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(most > 100 && most <= 140, "{counts:?}");
+}
+
+/// Guards against a full share for a replica in slow start where another one can take it.
+#[test]
+fn replicas_that_may_be_warm_are_in_slow_start_where_one_is_known_to_be_warm() {
+    let counts = |uncertainty| {
+        let mut rig = rig(&[Some(uncertainty), None, Some(uncertainty)]);
+        sends_each(&mut rig, 60, |_| 1.0)
+    };
+    assert_eq!(counts(f64::INFINITY), counts(0.0));
+}
+
+/// Guards against taking replicas that are known to have just started for warm.
+#[test]
+fn a_replica_that_is_known_to_be_warming_up_stays_in_slow_start_among_uncertain_ones() {
+    let mut rig = rig(&[Some(f64::INFINITY), Some(0.0), Some(f64::INFINITY)]);
+    let counts = sends_each(&mut rig, 60, |_| 1.0);
+    assert!(counts.get(&ReplicaId(1)).is_none_or(|sent| *sent <= 3), "{counts:?}");
+    assert_eq!(counts.values().sum::<u32>(), 60, "{counts:?}");
+}
--- a/tests/many_coordinators.rs
+++ b/tests/many_coordinators.rs
@@ -77,6 +77,7 @@
         state: EndpointState::Ready,
         weight: 1.0,
         started,
+        start_uncertainty: 0.0,
     }
 }
 
--- a/tests/recorded/world.rs
+++ b/tests/recorded/world.rs
@@ -143,6 +143,7 @@
                 state: EndpointState::Ready,
                 weight: 1.0,
                 started: None,
+                start_uncertainty: 0.0,
             };
             Server { endpoint, ..Server::default() }
         };
--- /dev/null
+++ b/tests/replica_starts.rs
@@ -0,0 +1,96 @@
+//! When replicas started, by lists that come late and wall clocks of which one is stepped.
+use marlgap::send_policy::{ListedStart, StartEstimate, StartEstimator};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Unix time at our own zero, in seconds.
+const UNIX_AT_ZERO: f64 = 1.7e9;
+/// Our own time at which the first list comes.
+const FIRST_LIST_AT: f64 = 1e6;
+/// Discovery may be late by this many seconds.
+const MAX_LIST_DELAY: f64 = 6.0;
+/// The replica whose clock is stepped, where ours is not.
+const STEPPED: usize = 3;
+/// Rounding of starts to milliseconds, in seconds.
+const ROUNDING: f64 = 0.002;
+
+/// Which wall clock is stepped, by so many seconds.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ours(f64),
+    OfReplica(usize, f64),
+}
+
+struct Fleet {
+    random: Pcg64Mcg,
+    step: Step,
+}
+
+impl Fleet {
+    fn up_to(&mut self, most: f64) -> f64 {
+        f64::from(self.random.next_u32()) / f64::from(u32::MAX) * most
+    }
+
+    /// Whether the clock of this replica is.
+    fn is_behind(&self, replica: usize) -> bool {
+        matches!(self.step, Step::OfReplica(stepped, by) if stepped == replica && by < 0.0)
+    }
+
+    /// How a start at a time of ours is listed, and how our wall clock reads that.
+    fn listed(&self, replica: usize, started: f64) -> ListedStart {
+        let theirs = match self.step {
+            Step::OfReplica(stepped, by) if stepped == replica => by,
+            _ => 0.0,
+        };
+        let ours = if let Step::Ours(by) = self.step { by } else { 0.0 };
+        let unix = UNIX_AT_ZERO + started + theirs;
+        ListedStart { unix_ms: (unix * 1000.0) as u64, by_wall_clock: started + theirs - ours }
+    }
+}
+
+fn assert_not_too_early(estimate: StartEstimate, started: f64, now: f64, what: &str) {
+    assert!(estimate.latest >= started - ROUNDING, "{what}: {started} taken for {estimate:?}");
+    assert!(estimate.latest <= now, "{what}: {estimate:?} lies behind {now}");
+    assert!(estimate.uncertainty >= 0.0, "{what}: {estimate:?}");
+}
+
+const STEPS: [f64; 8] = [-3600.0, -60.0, -4.0, -0.5, 0.5, 4.0, 60.0, 3600.0];
+
+/// Guards against a full share for a data node that has just started, on a machine whose clock is wrong.
+#[test]
+fn no_start_is_taken_to_be_earlier_than_it_was_whichever_clock_is_stepped() {
+    for seed in 0..400 {
+        let by = STEPS[seed as usize % STEPS.len()];
+        let step = if seed % 16 < 8 { Step::Ours(by) } else { Step::OfReplica(STEPPED, by) };
+        let mut fleet = Fleet { random: Pcg64Mcg::seed_from_u64(seed), step };
+        let mut estimator = StartEstimator::default();
+        let mut now = FIRST_LIST_AT;
+        for list in 0..6 {
+            let started: Vec<f64> = (0..8).map(|_| now - fleet.up_to(MAX_LIST_DELAY)).collect();
+            let starts: Vec<_> = (0..).zip(&started).map(|(n, at)| fleet.listed(n, *at)).collect();
+            estimator.observe(starts.iter().copied(), now);
+            for (n, (start, at)) in starts.iter().zip(&started).enumerate() {
+                // In a first list, a replica whose own clock is behind is not told from one that is older.
+                if list > 0 || !fleet.is_behind(n) {
+                    let what = format!("seed {seed}, {step:?}, list {list}");
+                    assert_not_too_early(estimator.estimate(*start, now), *at, now, &what);
+                }
+            }
+            estimator.finish_list(now);
+            now += 1.0 + fleet.up_to(20.0);
+        }
+    }
+}
+
+/// Guards against a restart of ours that puts replicas into slow start that have long been up.
+#[test]
+fn what_is_older_than_the_newest_start_by_a_ramp_is_that_old_in_the_first_list() {
+    let fleet = Fleet { random: Pcg64Mcg::seed_from_u64(0), step: Step::Ours(3600.0) };
+    let mut estimator = StartEstimator::default();
+    let ages = [1.0, 40.0, 900.0];
+    let starts = ages.map(|age| fleet.listed(0, FIRST_LIST_AT - age));
+    estimator.observe(starts.into_iter(), FIRST_LIST_AT);
+    let estimates = starts.map(|start| estimator.estimate(start, FIRST_LIST_AT));
+    let least_ages = estimates.map(|estimate| (FIRST_LIST_AT - estimate.latest).round());
+    assert_eq!(least_ages, [0.0, 39.0, 899.0]);
+}
--- a/tests/round_cost/main.rs
+++ b/tests/round_cost/main.rs
@@ -100,6 +100,7 @@
             state,
             weight: 1.0,
             started: None,
+            start_uncertainty: 0.0,
         }
     }
 
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -112,7 +112,17 @@
             self.cells.insert(replica, cell);
             let started = self.rng.chance(30).then_some(self.now);
             let zone = ZoneId((n % 2) as u8);
-            entries.push(Endpoint { replica, zone, cell: CellId(cell), state: phase, weight: 1.0, started });
+            let cell = CellId(cell);
+            let start_uncertainty = 0.0;
+            entries.push(Endpoint {
+                replica,
+                zone,
+                cell,
+                state: phase,
+                weight: 1.0,
+                started,
+                start_uncertainty,
+            });
         }
         Event::Endpoints { update, endpoints: entries }
     }
--- a/tests/slow_start/world.rs
+++ b/tests/slow_start/world.rs
@@ -183,6 +183,7 @@
                 state: EndpointState::Ready,
                 weight: 1.0,
                 started: None,
+                start_uncertainty: 0.0,
             };
             let hung = self.unit() < case.hung_share;
             let failing = self.unit() < case.failing_share;
--- a/tests/subsetting.rs
+++ b/tests/subsetting.rs
@@ -11,7 +11,8 @@
 fn endpoint(replica: u64, state: EndpointState, started: u64) -> Endpoint {
     let cell = CellId((replica % u64::from(CELL_COUNT)) as u16);
     let started = (started > 0).then_some(started as f64);
-    Endpoint { replica: ReplicaId(replica), zone: ZoneId(0), cell, state, weight: 1.0, started }
+    let replica = ReplicaId(replica);
+    Endpoint { replica, zone: ZoneId(0), cell, state, weight: 1.0, started, start_uncertainty: 0.0 }
 }
 
 /// State and start of replicas, by number.
--- a/tests/wall_clock.rs
+++ b/tests/wall_clock.rs
@@ -4,40 +4,61 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use common::{configure, connect, fault_plan, host, read_http, reconfigure, request, status, Node, Program};
 
 const RAMP: Duration = Duration::from_secs(2);
-const HOUR_NS: i64 = 3_600_000_000_000;
+/// For how long discovery is silent in a gap: longer than the ramp.
+const GAP: Duration = Duration::from_secs(4);
+const SECOND_NS: i64 = 1_000_000_000;
+const HOUR_NS: i64 = 3600 * SECOND_NS;
 
-/// Which list says that the second data node has just started: the first one that the program gets, or the next one.
+/// Which list says that the second data node has just started: the first one that the program gets, the next one, or the
+/// next one after a gap.
 #[derive(Clone, Copy, PartialEq)]
 enum StartListed {
     First,
     Next,
+    AfterGap,
 }
 
 /// A discovery that lists two data nodes, the second of which has just started.
 fn discovery(warm: SocketAddr, started: SocketAddr, listed: StartListed) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
+    let gap_end = Arc::new(OnceLock::new());
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            std::thread::spawn(move || serve_lists(stream, warm, started, listed));
+            let gap_end = gap_end.clone();
+            std::thread::spawn(move || serve_lists(stream, [warm, started], listed, &gap_end));
         }
     });
     address
 }
 
-fn serve_lists(mut stream: TcpStream, warm: SocketAddr, started: SocketAddr, mut listed: StartListed) {
+/// `gap_end`: until when no watch is answered, once there is a gap.
+fn serve_lists(
+    mut stream: TcpStream,
+    [warm, started]: [SocketAddr; 2],
+    mut listed: StartListed,
+    gap_end: &OnceLock<Instant>,
+) {
     let answer = |stream: &mut TcpStream, body: &str| {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         stream.write_all((head + body).as_bytes()).is_ok()
     };
     while let Some(call) = read_http(&mut stream) {
         let is_first_watch = call.contains("?index=1&");
-        let body = if is_first_watch && listed == StartListed::Next {
+        if let Some(end) = gap_end.get() {
+            std::thread::sleep(end.saturating_duration_since(Instant::now()));
+            listed = StartListed::First;
+        }
+        let body = if is_first_watch && listed != StartListed::First {
+            if listed == StartListed::AfterGap {
+                gap_end.set(Instant::now() + GAP).expect("one gap");
+            }
             listed = StartListed::First;
             r#"{"seq":1,"whole":false,"hosts":[]}"#.to_owned()
         } else if is_first_watch {
@@ -127,8 +148,28 @@
     assert_slow_start(&[("first_as_it_is", 0), ("first_an_hour_behind", -HOUR_NS)], StartListed::First);
 }
 
-/// Nothing that a process has seen by then tells a clock that is ahead from data nodes that have been up for long.
+/// The first list of a process has no earlier one that bounds a start.
 #[test]
 fn a_data_node_that_started_before_us_is_cold_for_its_ramp_though_our_clock_is_ahead() {
     assert_slow_start(&[("first_an_hour_ahead", HOUR_NS)], StartListed::First);
 }
+
+/// The wall clock is ahead by more than the ramp and less than discovery may be late.
+#[test]
+fn a_data_node_that_started_before_us_is_cold_for_its_ramp_though_our_clock_is_seconds_ahead() {
+    assert_slow_start(&[("first_seconds_ahead", 4 * SECOND_NS)], StartListed::First);
+}
+
+/// The wall clock is ahead by more than the ramp and less than discovery may be late.
+#[test]
+fn a_data_node_of_a_later_list_is_cold_for_its_ramp_though_our_clock_is_seconds_ahead() {
+    let steps = [("seconds_ahead", 4 * SECOND_NS), ("seconds_behind", -4 * SECOND_NS)];
+    assert_slow_start(&steps, StartListed::Next);
+}
+
+/// No list came for longer than the ramp, so that the last one bounds a start loosely.
+#[test]
+fn a_data_node_of_a_list_after_a_gap_is_cold_for_its_ramp_though_our_clock_is_ahead() {
+    let steps = [("gap_seconds_ahead", 9 * SECOND_NS), ("gap_hour_ahead", HOUR_NS)];
+    assert_slow_start(&steps, StartListed::AfterGap);
+}
