Date starts of DNS-SD servers once, by the same estimate as those of data nodes

What callers of the query API and gRPC saw: on a machine whose wall clock is ahead, a server that had just started got a full share; on one whose clock is behind, a server with a recent start began its slow start anew, and lost its statistics, with each change of the records.

Cause: `ServerRegistry::apply_list` converted a start by the wall clock alone with each list, and cut one that lay in the future to the time of that list: a later start each time, which the balancer takes for a new process.

Why this works: the start is estimated when it is listed for the first time, by `StartEstimator`, and kept with the server until another one is listed.

--- a/src/net/dns_sd/registry.rs
+++ b/src/net/dns_sd/registry.rs
@@ -9,6 +9,7 @@
 use super::zone_file::Server;
 use crate::balancer::interface::{CellId, Endpoint, EndpointState, ReplicaId, ZoneId};
 use crate::coordinator::Clock;
+use crate::send_policy::{self, ListedStart, StartEstimate, StartEstimator};
 
 /// A server that was listed at some time.
 pub struct KnownServer {
@@ -16,6 +17,8 @@
     pub server: Server,
     /// Counts its restarts and moves, as far as they were listed.
     pub incarnation: u64,
+    /// When it started on the coordinator's own clock, if that was not long ago.
+    pub started: Option<StartEstimate>,
 }
 
 /// What a list changed of one server.
@@ -35,6 +38,7 @@
 pub struct ServerRegistry {
     servers: BTreeMap<ReplicaId, KnownServer>,
     ids: BTreeMap<String, ReplicaId>,
+    starts: StartEstimator,
 }
 
 impl ServerRegistry {
@@ -48,10 +52,13 @@
     ) -> (Vec<Endpoint>, Vec<(ReplicaId, ServerChange)>) {
         let mut changes = self.remove_unlisted(servers);
         let now = clock.at(Instant::now());
+        self.starts.observe(servers.iter().filter_map(|server| listed_start(server, clock)), now);
         let mut endpoints = Vec::new();
         for server in servers {
-            let (replica, change) = self.update(server);
+            let start = listed_start(server, clock).map(|start| self.starts.estimate(start, now));
+            let (replica, change) = self.update(server, start);
             changes.push((replica, change));
+            let started = self.servers[&replica].started;
             let zone = zones.iter().position(|zone| *zone == server.zone);
             endpoints.push(Endpoint {
                 replica,
@@ -59,11 +66,11 @@
                 cell: CellId(server.cell),
                 state: server.state,
                 weight: server.weight,
-                // A start in the future is that of a wall clock that disagrees with ours.
-                started: clock.from_unix_ms(server.start_unix_ms).map(|at| at.min(now)),
-                start_uncertainty: 0.0,
+                started: started.map(|start| start.latest),
+                start_uncertainty: started.map_or(0.0, |start| start.uncertainty),
             });
         }
+        self.starts.finish_list(now);
         (endpoints, changes)
     }
 
@@ -78,13 +85,18 @@
         changes
     }
 
-    fn update(&mut self, server: &Server) -> (ReplicaId, ServerChange) {
+    /// `start`: when it started, should this start be listed for the first time.
+    fn update(&mut self, server: &Server, start: Option<StartEstimate>) -> (ReplicaId, ServerChange) {
         let next_id = ReplicaId(self.ids.len() as u64 + 1);
         let replica = *self.ids.entry(server.name.clone()).or_insert(next_id);
-        let known = self
-            .servers
-            .entry(replica)
-            .or_insert_with(|| KnownServer { server: server.clone(), incarnation: 0 });
+        let known = self.servers.entry(replica).or_insert_with(|| KnownServer {
+            server: server.clone(),
+            incarnation: 0,
+            started: start,
+        });
+        if send_policy::is_restart(server.start_unix_ms, known.server.start_unix_ms) {
+            known.started = start;
+        }
         let replaced =
             known.server.start_unix_ms != server.start_unix_ms || known.server.address != server.address;
         known.server = server.clone();
@@ -107,3 +119,9 @@
         Some((known.server.address, known.incarnation))
     }
 }
+
+/// The start that a list gives for a server; `None` for one long ago.
+fn listed_start(server: &Server, clock: &Clock) -> Option<ListedStart> {
+    let by_wall_clock = clock.from_unix_ms(server.start_unix_ms)?;
+    Some(ListedStart { unix_ms: server.start_unix_ms, by_wall_clock })
+}
--- a/tests/replica_starts.rs
+++ b/tests/replica_starts.rs
@@ -1,4 +1,12 @@
 //! When replicas started, by lists that come late and wall clocks of which one is stepped.
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use marlgap::balancer::interface::{Endpoint, EndpointState};
+use marlgap::coordinator::Clock;
+use marlgap::net::dns_sd::registry::ServerRegistry;
+use marlgap::net::dns_sd::zone_file::Server;
 use marlgap::send_policy::{ListedStart, StartEstimate, StartEstimator};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -94,3 +102,51 @@
     let least_ages = estimates.map(|estimate| (FIRST_LIST_AT - estimate.latest).round());
     assert_eq!(least_ages, [0.0, 39.0, 899.0]);
 }
+
+/// A server of DNS-SD records, which started so many seconds from now by its own clock.
+fn server(name: &str, started: i64) -> Server {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as i64;
+    Server {
+        name: name.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        state: EndpointState::Ready,
+        cell: 0,
+        zone: "a".to_owned(),
+        weight: 1.0,
+        start_unix_ms: (now + started * 1000) as u64,
+    }
+}
+
+/// Guards against a server that seems to start anew with each list, on a machine whose clock is behind.
+#[test]
+fn a_server_whose_start_lies_in_the_future_starts_once() {
+    let clock = Clock::new();
+    let mut registry = ServerRegistry::default();
+    let servers = [server("a", 3600)];
+    let mut starts = BTreeSet::new();
+    for _ in 0..3 {
+        let (listed, _) = registry.apply_list(&servers, &[], &clock);
+        starts.insert(listed[0].started.map(f64::to_bits));
+        let before = Instant::now();
+        while before.elapsed() < Duration::from_millis(2) {}
+    }
+    assert_eq!(starts.len(), 1);
+}
+
+/// Guards against a full share for a server that has just started, on a machine whose clock is ahead.
+#[test]
+fn the_newest_start_of_the_first_records_and_each_of_later_ones_counts_from_when_it_was_read() {
+    let clock = Clock::new();
+    let mut registry = ServerRegistry::default();
+    let mut servers = vec![server("old", -900), server("new", -60)];
+    let ages = |listed: &[Endpoint]| -> Vec<f64> {
+        let now = clock.at(Instant::now());
+        listed.iter().map(|endpoint| (now - endpoint.started.expect("a start")).round()).collect()
+    };
+    let (listed, _) = registry.apply_list(&servers, &[], &clock);
+    assert_eq!(ages(&listed), [840.0, 0.0]);
+    assert_eq!(listed[1].start_uncertainty.round(), 60.0);
+    servers.push(server("later", -5));
+    let (listed, _) = registry.apply_list(&servers, &[], &clock);
+    assert_eq!(ages(&listed), [840.0, 0.0, 0.0]);
+}
