Move a replica that returns with a new start out of the index of its old cell

What callers saw: parts of a shard were sent to a data node that does not hold it, for as long as the coordinator ran, once that data node had returned with a new start in another cell.

Cause: `Balancer::update_endpoint` replaced the entry of a restarted replica by a default before `move_to_cell` read the old cell from it, so that the replica stayed in the index of its old cell beside the new one.

Without a new start it moved well before, too.

Why this works: old cell and old zone are read before the entry is replaced. Looked at, and right: zone (it was read before), load sums and reports (`ReplicaIndex::update` takes them from the new entry), warming-up ones and health checks (the same), attempts in flight and recent sends (kept). The check of the indexes could not see this: it counted the index against itself.

--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -50,14 +50,14 @@
             return;
         }
         let replica = self.replicas.entry(id).or_default();
-        let old_zone = replica.endpoint.zone;
+        let Endpoint { cell: old_cell, zone: old_zone, .. } = replica.endpoint;
         if endpoint.started > replica.endpoint.started {
             let in_flight = std::mem::take(&mut replica.in_flight);
             let recent_sends = std::mem::take(&mut replica.recent_sends);
             *replica = Replica { in_flight, recent_sends, ..Replica::default() };
             replica.rounding_phase = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
         }
-        self.replica_index.move_to_cell(id, replica.endpoint.cell, endpoint.cell);
+        self.replica_index.move_to_cell(id, old_cell, endpoint.cell);
         replica.set_state(endpoint.state, self.now);
         replica.endpoint = *endpoint;
         self.replica_index.update(id, replica, self.settings.slow_start.is_some());
--- a/src/balancer/state/replica_index.rs
+++ b/src/balancer/state/replica_index.rs
@@ -211,9 +211,11 @@
             let cell = u32::from(r.endpoint.cell.0);
             self.cells.get(&cell).is_some_and(|ids| ids.contains(id)) && self.places.contains(&(*id, cell))
         };
+        // Each in its own cell, and in no other.
         let in_cells: usize = self.cells.values().map(BTreeSet::len).sum();
-        let known = self.places.iter().all(|(id, _)| replicas.contains_key(id));
-        let cells_match = replicas.iter().all(is_placed) && in_cells == self.places.len() && known;
+        let cells_match = replicas.iter().all(is_placed)
+            && in_cells == replicas.len()
+            && self.places.len() == replicas.len();
         first_difference([
             (self.ready == ids(&Replica::is_ready), "ready"),
             (self.warming_up.keys().collect::<BTreeSet<_>>() == ids(&is_warming_up), "warming up"),
