Date an uncertain start back as far as an error of it does no harm

An age that is too high by a quarter of the initial capacity's part of the ramp stays within the rest, so an uncertain start is dated back by that, and no further than the wall clock says. On a clock that is right this wins the time back; on a wrong one the budget holds all the same.

--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -27,7 +27,7 @@
         }
         self.resubscribe_backoff = INITIAL_BACKOFF_SECONDS;
         for endpoint in endpoints {
-            self.update_endpoint(endpoint);
+            self.update_endpoint(&self.with_tolerated_start(endpoint));
         }
         self.replica_stats.ready = self.replica_index.ready_count().max(1) as f64;
         let is_long_ago = |removed_at: f64| self.now - removed_at >= FORGET_REMOVED_SECONDS;
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -3,7 +3,7 @@
 //! A warming-up replica accrues credit for each part that warm ones complete, and a part that is sent to it
 //! spends one. Beside that, its sends in any overload window stay within its quota. Both are rounded at
 //! random by [`Replica::rounding_phase`], so that all coordinators together keep to the sum.
-use super::interface::ReplicaId;
+use super::interface::{Endpoint, ReplicaId};
 #[cfg(doc)]
 use super::state::Replica;
 use super::{Balancer, RECENT_SECONDS};
@@ -36,6 +36,25 @@
         }
     }
 
+    /// An entry of a list whose start, if that is uncertain, is the latest that it may have been less an error that
+    /// does no harm: with an age that much too high, a replica still gets no more than the overload factor, of
+    /// which only [`SLOW_START_SHARE`] is used.
+    pub(super) fn with_tolerated_start(&self, endpoint: &Endpoint) -> Endpoint {
+        let Some(rule) = self.settings.slow_start else { return *endpoint };
+        if !endpoint.start_uncertainty.is_finite() {
+            return *endpoint;
+        }
+        let reserve = 1.0 / SLOW_START_SHARE - 1.0;
+        let capacity_per_second = (1.0 - rule.initial_capacity) / rule.ramp;
+        let harmless = reserve * rule.initial_capacity / capacity_per_second;
+        let error = endpoint.start_uncertainty.min(harmless);
+        Endpoint {
+            started: endpoint.started.map(|latest| latest - error),
+            start_uncertainty: endpoint.start_uncertainty - error,
+            ..*endpoint
+        }
+    }
+
     /// Whether a replica may get another part from us: it is warm, or it has the credit and its quota in the
     /// overload window is not used up.
     pub(super) fn has_slow_start_capacity(&mut self, id: ReplicaId) -> bool {
--- a/tests/decisions/uncertain_starts.rs
+++ b/tests/decisions/uncertain_starts.rs
@@ -70,6 +70,23 @@
     assert_eq!(counts(f64::INFINITY), counts(0.0));
 }
 
+/// Guards against a ramp that starts late by as long as lists take, where an error of that size does no harm.
+#[test]
+fn an_uncertain_start_is_dated_back_as_far_as_an_error_stays_within_the_overload_factor() {
+    // A quarter of the initial capacity, which grows by 0.09 in a second.
+    let harmless = 0.25 * RULE.initial_capacity / ((1.0 - RULE.initial_capacity) / RULE.ramp);
+    let counts = |started_before: f64, uncertainty: f64| {
+        let mut rig = rig(&[None, None]);
+        let started = Some(rig.now - started_before);
+        let returned = Endpoint { started, start_uncertainty: uncertainty, ..ready(1, 0) };
+        rig.round(&[full_list(vec![ready(0, 0), returned])]);
+        sends_each(&mut rig, 60, |_| 1.0)
+    };
+    assert_eq!(counts(0.0, 1.0), counts(harmless, 1.0 - harmless));
+    assert_eq!(counts(0.0, harmless / 2.0), counts(harmless / 2.0, 0.0));
+    assert_eq!(counts(0.0, f64::INFINITY), counts(0.0, 0.0));
+}
+
 /// Guards against taking replicas that are known to have just started for warm.
 #[test]
 fn a_replica_that_is_known_to_be_warming_up_stays_in_slow_start_among_uncertain_ones() {
