Evict connections that send nothing sooner and in batches where others wait

What callers saw: behind a crowd of connections on which nothing is sent, a request waited for seconds to be accepted and was answered long after its time, which counts as lost.

Cause: where all slots are taken, `Acceptor::evict_one` ended one connection at a time, each after 250 ms without a request, and waited 10 ms for it to go: a hundred a second at most.

One that has begun a request keeps its 250 ms, now from its first byte, and goes after the silent ones.

The test `an_evicted_connection_with_a_partial_request_gets_a_response` made a half-sent request go before silent connections; the silent ones are enough now, and the half-sent one would be kept for its 2 s. All others in it are half-sent now, and silent ones come behind: every check in it stands.

--- a/src/net/http_server/acceptor.rs
+++ b/src/net/http_server/acceptor.rs
@@ -5,7 +5,8 @@
 //! eviction notice, on which the connection's own task acts.
 //!
 //! Invariants: at most [`Descriptors::most_clients`] connections are open, but for those in the backlog at
-//! the end of a graceful shutdown; while an evicted connection is about to end, no second one is evicted.
+//! the end of a graceful shutdown; while an evicted connection is about to end, no second one is evicted, but
+//! for a batch of those on which nothing has been received.
 #![warn(missing_docs)]
 
 use std::cell::{Cell, RefCell};
@@ -31,6 +32,10 @@
 /// Pause after an accept that failed for want of resources of this machine.
 const LOCAL_FAILURE_PAUSE: Duration = Duration::from_millis(5);
 
+/// Of the connections on which nothing has been received, one in so many of all is evicted at a time. Keeps a
+/// crowd of them from passing one by one, with a client's time running out behind it.
+const EVICTION_BATCH_DIVISOR: usize = 8;
+
 /// Accepts connections up to a limit and serves each by a task of its own.
 pub struct Acceptor {
     executor: Rc<LocalExecutor<'static>>,
@@ -85,19 +90,25 @@
         self.open_connections() >= most && !self.shutdown.is_keep_alive_stopped()
     }
 
-    /// Evict the connection that is spared most easily, of those alike the one that has been so for longest.
-    /// While an evicted connection is about to end, only one that is being drained is closed. Returns how
-    /// long to wait for the effect.
-    fn evict_one(&self, now: Instant) -> Duration {
+    /// Evict what is spared most easily, of those alike the ones that have been so for longest: close connections
+    /// that are being drained, else evict some on which nothing has been received, else another one, unless one
+    /// is about to end. Returns how long to wait for the effect.
+    fn evict(&self, now: Instant) -> Duration {
         let slots = self.slots.borrow();
-        let one_is_ending = slots.values().any(|slot| slot.is_ending(now));
-        let evictable = slots.values().filter(|slot| slot.is_evictable(now));
-        let first = evictable.min_by_key(|slot| (slot.activity(), slot.active_since()));
-        match first.filter(|slot| !one_is_ending || slot.activity() == ConnectionActivity::Draining) {
-            Some(slot) => slot.evict(now),
-            None if !one_is_ending => return EVICTION_RETRY,
-            None => {}
-        }
+        let ending = slots.values().filter(|slot| slot.is_ending(now)).count();
+        let mut evictable: Vec<_> = slots.values().filter(|slot| slot.is_evictable(now)).collect();
+        evictable.sort_by_key(|slot| (slot.activity(), slot.active_since()));
+        let Some(activity) = evictable.first().map(|slot| slot.activity()) else {
+            return if ending == 0 { EVICTION_RETRY } else { MIN_DRAIN };
+        };
+        let batch = (slots.len() / EVICTION_BATCH_DIVISOR).max(1);
+        let count = match activity {
+            ConnectionActivity::Draining => batch,
+            ConnectionActivity::AwaitingFirstByte => batch.saturating_sub(ending),
+            _ => usize::from(ending == 0),
+        };
+        let alike = evictable.into_iter().take_while(|slot| slot.activity() == activity);
+        alike.take(count).for_each(|slot| slot.evict(now));
         MIN_DRAIN
     }
 
@@ -107,7 +118,7 @@
         while self.is_full() {
             let closed = self.connection_closed.listen();
             let now = Instant::now();
-            let wait = self.evict_one(now);
+            let wait = self.evict(now);
             timeout_at(now + wait, closed.or(self.shutdown.keep_alive_stopped())).await;
         }
     }
@@ -156,7 +167,7 @@
                     let now = Instant::now();
                     waiting_since.get_or_insert(now);
                     if socket::is_process_out_of_descriptors(&e) {
-                        self.evict_one(now);
+                        self.evict(now);
                     }
                     Timer::at(now + LOCAL_FAILURE_PAUSE).await;
                 }
--- a/src/net/http_server/connection.rs
+++ b/src/net/http_server/connection.rs
@@ -130,7 +130,7 @@
         let (activity, latest) = if self.received_a_request {
             (ConnectionActivity::Idle, Instant::now() + MAX_IDLE)
         } else {
-            (ConnectionActivity::AwaitingFirstRequest, self.accepted_at + MAX_RECEIVE_TIME)
+            (ConnectionActivity::AwaitingFirstByte, self.accepted_at + MAX_RECEIVE_TIME)
         };
         self.slot.set_activity(activity);
         let ClientConnection { stream, input, slot, shutdown, .. } = self;
@@ -156,9 +156,11 @@
         // Counted from the connection's start or the request's first byte, so that a client can't send it
         // forever.
         let started_at = if self.received_a_request { Instant::now() } else { self.accepted_at };
-        if self.received_a_request {
-            self.slot.set_activity(ConnectionActivity::Serving);
-        }
+        self.slot.set_activity(if self.received_a_request {
+            ConnectionActivity::Serving
+        } else {
+            ConnectionActivity::AwaitingFirstRequest
+        });
         let ClientConnection { stream, input, slot, shutdown, .. } = self;
         let received = read_request(stream, input);
         let closed = async {
--- a/src/net/http_server/connection_slot.rs
+++ b/src/net/http_server/connection_slot.rs
@@ -15,8 +15,10 @@
 
 /// How long a connection may stay idle between requests, though others wait for a slot.
 const MIN_IDLE: Duration = Duration::from_secs(2);
-/// How long a connection's first request may take, though others wait for a slot. Clients that have a request
-/// to send do so at once.
+/// How long the first byte of a connection's first request may take, though others wait for a slot. Clients
+/// that have a request to send do so at once.
+const MIN_FIRST_BYTE_WAIT: Duration = Duration::from_millis(50);
+/// How long the rest of that request may take then.
 const MIN_FIRST_REQUEST_WAIT: Duration = Duration::from_millis(250);
 /// How long a connection is drained, though others wait for a slot. A round trip or two are enough for a
 /// client that reads the end of the stream and closes its side.
@@ -30,7 +32,9 @@
 pub(super) enum ConnectionActivity {
     /// Its last response is written, or its client has been told that it ends: only its input is drained.
     Draining,
-    /// Its first request has not been received.
+    /// Nothing has been received on it.
+    AwaitingFirstByte,
+    /// Its first request has not been received completely.
     AwaitingFirstRequest,
     /// It is between two requests.
     Idle,
@@ -59,10 +63,10 @@
 }
 
 impl ConnectionSlot {
-    /// The slot of a connection that was accepted at `now` and whose first request has not been received.
+    /// The slot of a connection that was accepted at `now`, on which nothing has been received.
     pub(super) fn new(now: Instant) -> ConnectionSlot {
         ConnectionSlot {
-            activity: Cell::new(ConnectionActivity::AwaitingFirstRequest),
+            activity: Cell::new(ConnectionActivity::AwaitingFirstByte),
             active_since: Cell::new(now),
             notice: Cell::new(EvictionNotice::Stay),
             notified_at: Cell::new(now),
@@ -96,6 +100,7 @@
             (ConnectionActivity::Serving, _) | (_, EvictionNotice::CloseNow) => None,
             (ConnectionActivity::Draining, _) => Some(since + MIN_DRAIN),
             (_, EvictionNotice::CloseWhenIdle) => None,
+            (ConnectionActivity::AwaitingFirstByte, _) => Some(since + MIN_FIRST_BYTE_WAIT),
             (ConnectionActivity::AwaitingFirstRequest, _) => Some(since + MIN_FIRST_REQUEST_WAIT),
             (ConnectionActivity::Idle, _) => Some(since + MIN_IDLE),
         }
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -197,7 +197,11 @@
     let program = Program::start(&folder, false);
     let mut half = connect(program.address);
     send(&mut half, &request("half", "field-lookup", 4000)[..40]);
-    let mut mute: Vec<_> = (0..11).map(|_| connect(program.address)).collect();
+    // Those that said nothing would make way first.
+    let mut others: Vec<_> = (0..11).map(|_| connect(program.address)).collect();
+    for other in &mut others {
+        send(other, &request("other", "field-lookup", 4000)[..40]);
+    }
     let mut asks: Vec<_> = (0..4).map(|_| connect(program.address)).collect();
     for (n, client) in asks.iter_mut().enumerate() {
         send(client, &request(&format!("a{n}"), "field-lookup", 4000));
@@ -208,6 +212,7 @@
         assert_eq!(status(client), 200);
     }
     // Those that said nothing hear of their end, and of nothing else.
+    let mut mute: Vec<_> = (0..24).map(|_| connect(program.address)).collect();
     ends(&mut mute[0]);
 }
 
