Answer searches of the query API before SIGKILL is due

What callers saw: a search that was read just before a shutdown, at a server that hangs, got no answer at all: SIGKILL, or the end of the process before it, found it unanswered.

Cause: `QueryApiServer::search` applied neither `GracefulShutdown::limit_deadline` nor `answer_deadline_passed`, as the platform's front does; a search of 8 s outlives the 3.7 s that a process has where it serves the platform too.

Evidence: `a_search_at_a_hung_server_is_answered_before_sigkill` failed before with no whole answer (the process ended 3.58 s after SIGTERM with the search open); now it gets 504 in time. One that the cluster runs is answered with 504 too, and goes on at its members. Read and not mended here: the gRPC front, which is alike.

--- a/src/net/opensearch/query_api.rs
+++ b/src/net/opensearch/query_api.rs
@@ -8,8 +8,11 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use futures_lite::FutureExt;
+
 pub use super::search::QueryApiServer;
 use super::search::{error, path, segments, PreparedSearch};
+use crate::coordinator::{Query, QueryOutcome};
 use crate::net::buffer::Buffer;
 use crate::net::http::{HttpError, Message, Response};
 use crate::net::http_server::{readiness_response, serve_requests, ClientConnection, RequestHandler};
@@ -51,16 +54,28 @@
             // Where the client disconnects, the cluster goes on with it: its outcome is kept for the next one
             // that asks.
             let asked = self.submit(&cluster, ask, prepared.deadline);
-            if let Some(response) = client.unless_disconnected(request.length, asked).await? {
+            let answered = client.unless_disconnected(request.length, asked);
+            let shut_down = async {
+                self.shutdown.answer_deadline_passed().await;
+                let reason = "the server shuts down; the cluster goes on with the search";
+                Ok(Some(error(504, "timeout_exception", reason)))
+            };
+            if let Some(response) = answered.or(shut_down).await? {
                 return Ok(response);
             }
         }
         let PreparedSearch { search, progress, parts, begun, deadline, query } = prepared;
-        let Some(handle) = self.coordinator.submit(query) else {
+        let deadline = self.shutdown.limit_deadline(deadline);
+        let Some(handle) = self.coordinator.submit(Query { deadline, ..query }) else {
             return Ok(self.rejected("too many searches are open"));
         };
+        let finished = client.unless_disconnected(request.length, handle.outcome());
+        let shut_down = async {
+            self.shutdown.answer_deadline_passed().await;
+            Ok(QueryOutcome::DeadlineExceeded)
+        };
         // Dropping the handle, on return, cancels a search that is not finished.
-        let outcome = client.unless_disconnected(request.length, handle.outcome()).await?;
+        let outcome = finished.or(shut_down).await?;
         let progress = progress.borrow();
         Ok(self.response(&search, &outcome, &progress, &parts, begun, deadline))
     }
--- a/tests/process_stalls.rs
+++ b/tests/process_stalls.rs
@@ -65,3 +65,24 @@
     }
     assert!(stalls >= 3, "{stalls} stalls");
 }
+
+/// Guards against a search of the query API that SIGKILL finds unanswered.
+#[test]
+fn a_search_at_a_hung_server_is_answered_before_sigkill() {
+    let discovery = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let hung = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let server = hung.local_addr().expect("bound");
+    let folder = configure("search_hung", &[server], discovery.local_addr().expect("bound"), 1, 75);
+    let program = Program::start(&folder, true);
+    let mut client = connect(program.search.expect("the query API"));
+    let body = r#"{"query":{"terms":{"_id":["0"]}}}"#;
+    let head = "POST /overlaps/_search HTTP/1.1\r\nHost: t\r\nContent-Type: application/json";
+    write!(client, "{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+    let _connection = hung.accept().expect("the search is forwarded");
+    program.signal("-TERM");
+    let terminated = Instant::now();
+    let status = status(&mut client);
+    let after = terminated.elapsed();
+    assert!(after < SIGKILL_AFTER - MAX_STALL, "answered with {status} after {after:?}");
+    assert_eq!(status, 504);
+}
