Answer gRPC calls before SIGKILL is due

What callers saw: a call at a server that hangs, open when the process was told to end beside the platform's front, ended with its connection and no status.

Cause: `Front::relay` and `Front::read_start` waited for the call's own deadline alone, as the query API did.

Where no SIGKILL is due nothing changes.

--- a/src/net/grpc/front/call.rs
+++ b/src/net/grpc/front/call.rs
@@ -113,7 +113,11 @@
         let first = if unary || route.needs_first_message() {
             let read = client.take(&mut framer, unary);
             let late = Status::new(Code::DeadlineExceeded, "the request did not come in in time");
-            let read = timeout_at(call.deadline, read).await;
+            let shut_down = async {
+                self.closing.answer_deadline_passed().await;
+                None
+            };
+            let read = timeout_at(call.deadline, read).or(shut_down).await;
             read.unwrap_or(Err(Some(late))).map_err(|s| s.unwrap_or_else(gone))?
         } else {
             BytesMut::new()
@@ -193,7 +197,11 @@
             std::future::pending().await
         };
         let relay = Box::pin(client.relay(&exchange, framer));
-        let ended = timeout_at(call.deadline, relay.or(outcome)).await;
+        let shut_down = async {
+            self.closing.answer_deadline_passed().await;
+            None
+        };
+        let ended = timeout_at(call.deadline, relay.or(outcome)).or(shut_down).await;
         // Dropping the handle withdraws a query that is still open.
         drop(handle);
         match ended {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -48,12 +48,7 @@
 impl Program {
     /// Start it in `folder`, which holds what [`configure`] wrote there.
     pub fn start(folder: &Path, search: bool) -> Program {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
-        command.env("RELAY_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
-        if search {
-            command.arg("serve").arg("--config").arg(folder.join("marlgap.json5"));
-        }
-        let mut program = Program::spawn(command);
+        let mut program = if search { Program::on_platform(folder) } else { Program::reading(folder) };
         program.address = place(&program.log(" listening, "));
         program.search = search.then(|| place(&program.log("query API listening, ")));
         program
@@ -95,6 +90,14 @@
         Program::spawn(command)
     }
 
+    /// Start it with the platform's configuration and the operator's file, not waiting until it listens.
+    pub fn on_platform(folder: &Path) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
+        command.env("RELAY_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
+        command.arg("serve").arg("--config").arg(folder.join("marlgap.json5"));
+        Program::spawn(command)
+    }
+
     /// Start it with the operator's file in `folder` alone.
     pub fn alone(folder: &Path) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
--- a/tests/grpc/main.rs
+++ b/tests/grpc/main.rs
@@ -7,5 +7,6 @@
 mod outcomes;
 mod requests;
 mod rig;
+mod shutdown;
 mod standin;
 mod streams;
--- a/tests/grpc/rig.rs
+++ b/tests/grpc/rig.rs
@@ -1,6 +1,6 @@
 //! The program with a gRPC front before stand-ins, and the judgement of one call.
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use marlgap::net::grpc::status::Code;
@@ -21,6 +21,20 @@
 
 /// The program with a gRPC front alone, before `count` servers that all hold every shard.
 pub fn new_rig(name: &str, count: usize, change: impl FnOnce(&mut serde_json::Value)) -> Rig {
+    started(name, count, change, Program::alone)
+}
+
+/// The same beside the platform's front, whose shutdown ends in SIGKILL.
+pub fn new_rig_on_platform(name: &str) -> Rig {
+    started(name, 1, |_| (), Program::on_platform)
+}
+
+fn started(
+    name: &str,
+    count: usize,
+    change: impl FnOnce(&mut serde_json::Value),
+    start: impl FnOnce(&Path) -> Program,
+) -> Rig {
     let (servers, record) = serve(count, 100);
     let folder = configure(name, &servers, servers[0], count, 400);
     let path = folder.join("marlgap.json5");
@@ -47,19 +61,24 @@
         "pool": {"ping_s": 0.1, "ping_timeout_s": 0.3}});
     change(&mut file);
     std::fs::write(&path, file.to_string()).expect("written");
-    let program = Program::alone(&folder);
+    let program = start(&folder);
     let front = place(&program.log("gRPC listening, "));
     Rig { program, front, record, servers, folder }
 }
 
+/// One call at a front, by a client of its own.
+pub fn call_at(front: SocketAddr, path: &str, id: &str, script: &str, more: &[(&str, &str)]) -> Got {
+    let metadata = [&[("call-id", id), ("do", script), ("tile", "3")], more].concat();
+    Client::with(front, async |client| client.call(path, &metadata, id.as_bytes()).await)
+}
+
 impl Rig {
     pub fn call(&self, path: &str, id: &str, script: &str) -> Got {
         self.call_with(path, id, script, &[])
     }
 
     pub fn call_with(&self, path: &str, id: &str, script: &str, more: &[(&str, &str)]) -> Got {
-        let metadata = [&[("call-id", id), ("do", script), ("tile", "3")], more].concat();
-        Client::with(self.front, async |client| client.call(path, &metadata, id.as_bytes()).await)
+        call_at(self.front, path, id, script, more)
     }
 
     /// Judge a call that was to end with `code` after `messages` messages of one attempt, of `attempts` in all.
--- /dev/null
+++ b/tests/grpc/shutdown.rs
@@ -0,0 +1,27 @@
+//! Calls that are open when the process is told to end.
+use std::time::{Duration, Instant};
+
+use marlgap::net::grpc::status::Code;
+
+use crate::rig::{call_at, new_rig_on_platform, SAFE};
+
+/// SIGKILL comes so long after SIGTERM at the earliest, less the longest for which a process may stall.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(3700 - 150);
+
+/// Guards against a call that SIGKILL finds unanswered.
+#[test]
+fn a_call_at_a_hung_server_is_answered_before_sigkill() {
+    let rig = new_rig_on_platform("grpc_shutdown");
+    let front = rig.front;
+    let call = std::thread::spawn(move || {
+        let got = call_at(front, SAFE, "hung", "silent", &[]);
+        (got, Instant::now())
+    });
+    rig.record.until("hung", |seen| !seen.is_empty());
+    let terminated = Instant::now();
+    rig.program.signal("-TERM");
+    let (got, answered) = call.join().expect("a call");
+    let after = answered - terminated;
+    assert!(after < ANSWERED_WITHIN, "answered after {after:?}: {got:?}");
+    assert_eq!(got.code(), Code::DeadlineExceeded as u32, "{got:?}");
+}
