Let the soak see more: open connections until the kill, series of signals, crowds, late connects

The soak's clients were gentler than the operators', and it was blind to sends without the last look.

Change: clients stream requests on open connections until they end, pipelined too; one that crossed the end of its connection must not have been forwarded (it was asked again under its id before, which hid that). ETIMEDOUT and EHOSTUNREACH are armed for the connections that the program makes: the shim can spare accepted ones.

--- a/faults/control/src/lib.rs
+++ b/faults/control/src/lib.rs
@@ -11,10 +11,13 @@
 /// Name of the environment variable that tells the library where the plan is.
 pub const PLAN_VARIABLE: &str = "FAULT_PLAN";
 pub const PLAN_BYTES: usize = 4096;
-/// Words before the first fault: the seed, the step of the wall clock in nanoseconds, and how often it was read stepped.
+/// Words before the first fault: the seed, the step of the wall clock in nanoseconds, how often it was read stepped, and
+/// what may break.
 pub const SEED_WORD: usize = 0;
 pub const WALL_STEP_WORD: usize = 1;
 pub const WALL_STEPPED_WORD: usize = 2;
+/// Not 0: connections that the program accepted don't break.
+pub const SPARE_ACCEPTED_WORD: usize = 3;
 const FIRST_FAULT_WORD: usize = 8;
 const FAULT_WORDS: usize = 4;
 /// Offsets within the words of one fault.
@@ -147,6 +150,11 @@
         self.write(WALL_STEP_WORD, nanoseconds as u64)
     }
 
+    /// From now on only connections that the program made break, not those that it accepted.
+    pub fn spare_accepted_connections(&self) -> io::Result<()> {
+        self.write(SPARE_ACCEPTED_WORD, 1)
+    }
+
     /// How often a wall clock that was stepped has been read.
     pub fn stepped_reads(&self) -> io::Result<u64> {
         self.read(WALL_STEPPED_WORD)
--- a/faults/shim/src/calls.rs
+++ b/faults/shim/src/calls.rs
@@ -1,10 +1,10 @@
 //! The calls that may fail. Each asks the plan, and else goes on to the C library's own.
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use fault_control::Fault;
 use libc::{c_char, c_int, c_void, mode_t, off_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
 
-use crate::plan::{fires, wall_step};
+use crate::plan::{fires, spares_accepted, wall_step};
 
 const NANOSECONDS: i64 = 1_000_000_000;
 
@@ -43,6 +43,24 @@
     option(socket, libc::SO_DOMAIN).is_some_and(|d| d == libc::AF_INET || d == libc::AF_INET6)
 }
 
+/// Descriptors whose origin is known.
+const KNOWN_DESCRIPTORS: usize = 4096;
+
+/// Whether the last socket with a descriptor was connected by the program, and not accepted.
+static CONNECTED: [AtomicBool; KNOWN_DESCRIPTORS] = [const { AtomicBool::new(false) }; KNOWN_DESCRIPTORS];
+
+fn set_connected(socket: c_int, connected: bool) {
+    if let Some(known) = usize::try_from(socket).ok().and_then(|socket| CONNECTED.get(socket)) {
+        known.store(connected, Ordering::Release);
+    }
+}
+
+/// Whether a connection may break.
+fn may_break(socket: c_int) -> bool {
+    let known = usize::try_from(socket).ok().and_then(|socket| CONNECTED.get(socket));
+    is_tcp(socket) && (!spares_accepted() || known.is_some_and(|known| known.load(Ordering::Acquire)))
+}
+
 type Receive = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
 type Send = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
 
@@ -53,7 +71,7 @@
     if fires(Fault::ReceiveInterrupted) {
         return fail(libc::EINTR) as ssize_t;
     }
-    if is_tcp(socket) && fires(Fault::ReceiveTimedOut) {
+    if may_break(socket) && fires(Fault::ReceiveTimedOut) {
         return fail(libc::ETIMEDOUT) as ssize_t;
     }
     let short = length > 1 && is_tcp(socket) && fires(Fault::ReceiveShort);
@@ -68,7 +86,7 @@
     if fires(Fault::SendInterrupted) {
         return fail(libc::EINTR) as ssize_t;
     }
-    if is_tcp(socket) && fires(Fault::SendUnreachable) {
+    if may_break(socket) && fires(Fault::SendUnreachable) {
         return fail(libc::EHOSTUNREACH) as ssize_t;
     }
     let short = length > 1 && is_tcp(socket) && fires(Fault::SendShort);
@@ -93,7 +111,9 @@
     if fires(Fault::AcceptFull) {
         return fail(libc::ENFILE);
     }
-    real!(accept4: Accept)(socket, address, length, flags)
+    let accepted = real!(accept4: Accept)(socket, address, length, flags);
+    set_connected(accepted, false);
+    accepted
 }
 
 /// # Safety
@@ -125,6 +145,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn connect(socket: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
     if is_tcp(socket) {
+        set_connected(socket, true);
         if fires(Fault::ConnectNoAddress) {
             return fail(libc::EADDRNOTAVAIL);
         }
--- a/faults/shim/src/plan.rs
+++ b/faults/shim/src/plan.rs
@@ -3,7 +3,8 @@
 use std::sync::OnceLock;
 
 use fault_control::{
-    Fault, ALWAYS, BUDGET, CALLS, FIRED, PLAN_BYTES, RATE, SEED_WORD, WALL_STEPPED_WORD, WALL_STEP_WORD,
+    Fault, ALWAYS, BUDGET, CALLS, FIRED, PLAN_BYTES, RATE, SEED_WORD, SPARE_ACCEPTED_WORD, WALL_STEPPED_WORD,
+    WALL_STEP_WORD,
 };
 
 const WORDS: usize = PLAN_BYTES / 8;
@@ -64,6 +65,11 @@
     spent
 }
 
+/// Whether connections that were accepted don't break.
+pub fn spares_accepted() -> bool {
+    plan().is_some_and(|words| words[SPARE_ACCEPTED_WORD].load(Ordering::Acquire) != 0)
+}
+
 /// What the wall clock is off by, in nanoseconds. A read of one that was stepped is counted.
 pub fn wall_step() -> i64 {
     let Some(words) = plan() else { return 0 };
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -1,4 +1,7 @@
 //! What happened in a run, as the clients, the data nodes and discovery saw it, on one clock.
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -20,7 +23,11 @@
         status: u16,
         body: String,
     },
-    /// Its connection ended with no whole answer, and it could not be asked once more.
+    /// Its connection ended with no answer: the end has crossed it.
+    Crossed {
+        id: String,
+    },
+    /// It crossed the end of its connection, and no later one gave an answer.
     Lost {
         id: String,
     },
@@ -47,12 +54,35 @@
         node: usize,
         drains: bool,
     },
-    /// A coordinator was told to end, and did.
+    /// Discovery has written to a coordinator that a data node has started.
+    ToldStart {
+        coordinator: usize,
+        node: usize,
+    },
+    /// A data node was started anew.
+    NodeStarted {
+        node: usize,
+    },
+    /// A process of a coordinator was started: it has been told nothing yet.
+    Started {
+        coordinator: usize,
+    },
+    /// A coordinator was told to end.
+    Terminated {
+        coordinator: usize,
+    },
+    /// It was told to end, and did, or was killed.
     Ended {
         coordinator: usize,
         after_ms: u64,
         well: bool,
     },
+    /// It was told to end as it started, and did, or was killed.
+    EndedDuringStart {
+        coordinator: usize,
+        after_ms: u64,
+        ended: bool,
+    },
     /// A coordinator was started, and ready or not.
     Ready {
         coordinator: usize,
@@ -63,6 +93,15 @@
     Crashed {
         coordinator: usize,
     },
+    /// A trouble starts, or ends.
+    Trouble {
+        text: String,
+    },
+    /// A line of a coordinator's log.
+    Line {
+        coordinator: usize,
+        line: String,
+    },
     /// A line of a coordinator's log that tells of a broken invariant or a panic.
     Logged {
         coordinator: usize,
@@ -87,6 +126,18 @@
         self.0.lock().expect("no panic").push((Instant::now(), what));
     }
 
+    /// Writes all that happened to a file, in order of time, in seconds since the first of it.
+    pub fn write_history(happened: &[Happened], path: &Path) -> io::Result<()> {
+        let mut ordered: Vec<&Happened> = happened.iter().collect();
+        ordered.sort_by_key(|(at, _)| *at);
+        let Some((start, _)) = ordered.first() else { return Ok(()) };
+        let mut file = BufWriter::new(File::create(path)?);
+        for (at, what) in &ordered {
+            writeln!(file, "{:9.4} {what:?}", at.duration_since(*start).as_secs_f64())?;
+        }
+        file.flush()
+    }
+
     pub fn all(&self) -> Vec<Happened> {
         self.0.lock().expect("no panic").clone()
     }
