--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -36,9 +36,9 @@
         }
     }
 
-    /// An entry of a list whose start, if that is uncertain, is the latest that it may have been less an error that
-    /// does no harm: with an age that much too high, a replica still gets no more than the overload factor, of
-    /// which only [`SLOW_START_SHARE`] is used.
+    /// An entry of a list whose start, if that is uncertain, is the latest that it may have been less an error
+    /// that does no harm: with an age that much too high, a replica still gets no more than the overload factor,
+    /// of which only [`SLOW_START_SHARE`] is used.
     pub(super) fn with_tolerated_start(&self, endpoint: &Endpoint) -> Endpoint {
         let Some(rule) = self.settings.slow_start else { return *endpoint };
         if !endpoint.start_uncertainty.is_finite() {
