--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -36,9 +36,9 @@
         }
     }
 
-    /// An entry of a list whose start, if that is uncertain, is the latest that it may have been less an error
-    /// that does no harm: with an age that much too high, a replica still gets no more than the overload factor,
-    /// of which only [`SLOW_START_SHARE`] is used.
+    /// An entry of a list whose start, if that is uncertain, is the latest that it may have been less an
+    /// error that does no harm: with an age that much too high, a replica still gets no more than the
+    /// overload factor, of which only [`SLOW_START_SHARE`] is used.
     pub(super) fn with_tolerated_start(&self, endpoint: &Endpoint) -> Endpoint {
         let Some(rule) = self.settings.slow_start else { return *endpoint };
         if !endpoint.start_uncertainty.is_finite() {
@@ -73,8 +73,8 @@
         is_within_quota || r.warming_up_since(now, self.settings.slow_start).is_none()
     }
 
-    /// Those of a shard's holders that serve as if they were warm, although they may be warming up: none where
-    /// a holder is known to be warm. Where none is, each that may be warm serves.
+    /// Those of a shard's holders that serve as if they were warm, although they may be warming up: none
+    /// where a holder is known to be warm. Where none is, each that may be warm serves.
     ///
     /// The ramp gives way here, since a shard whose holders all wait for their ramps would not be served. The
     /// overload factor does not: none of them is sent more than so many times the mean of them all in an
