Drain a gRPC connection once, so that a call crossing its eviction is served

Cause: an eviction stays in force, and Front::serve waited for it also after it had started to drain. With a call open the wait completed at once, again and again, and the executor's one thread was never given back. The other explanation was a loop in the acceptor's search for a slot: it would show Acceptor::evict on the stack. Three stacks of a hung process showed poll_accept of one connection, on one descriptor, at 100 ticks a second.

Change: a connection is open or draining. Eviction, shutdown and idle time are waited for only while it is open; a draining one waits for its client and its calls, and closes 1 s (FLUSH_TIMEOUT) after the last of them. The same assumption on related paths: a client that ignored GOAWAY was served for ever and kept the process from ending after SIGTERM, and calls that crossed the end of an idle connection were reset with CANCEL; they are served now, and refused with REFUSED_STREAM later than 1 s after the GOAWAY.

--- a/src/net/grpc/front/connection.rs
+++ b/src/net/grpc/front/connection.rs
@@ -1,8 +1,13 @@
 //! Serves a client's HTTP/2 connection and the concurrent calls on it.
+//!
+//! Invariants: the drain of a connection starts once, so the conditions that require it are waited for only
+//! before it. A draining connection waits for its client and its open calls alone, and closes at most
+//! [`FLUSH_TIMEOUT`] after it started to drain and its last call ended. A call that crosses the GOAWAY is
+//! served, or refused with REFUSED_STREAM, which proves that it was not executed.
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -37,17 +42,53 @@
     /// The connection must accept no more calls, because it is idle, it is evicted, or the process is
     /// shutting down.
     Drain,
+    /// The client did not close the draining connection in time.
+    FlushTimedOut,
     /// The number of open calls has changed.
     OpenCallsChanged,
 }
 
-/// The number of open calls on one connection.
-#[derive(Default)]
+/// Whether a connection accepts calls or has announced its end.
+#[derive(Clone, Copy)]
+enum ConnectionState {
+    /// Calls are accepted.
+    Open,
+    /// The client has been sent a GOAWAY. Calls that it sent before it received the GOAWAY still arrive.
+    Draining {
+        /// When the GOAWAY was sent.
+        since: Instant,
+    },
+}
+
+impl ConnectionState {
+    /// Returns whether a call that arrives at `now` is served. A client that ignores the GOAWAY cannot keep
+    /// the connection open with more calls.
+    fn accepts_calls(self, now: Instant) -> bool {
+        match self {
+            ConnectionState::Open => true,
+            ConnectionState::Draining { since } => now < since + FLUSH_TIMEOUT,
+        }
+    }
+}
+
+/// The open calls on one connection.
 struct OpenCalls {
     count: Cell<usize>,
+    /// When the last call ended, or the connection was established.
+    last_ended_at: Cell<Instant>,
     changed: Wake,
 }
 
+impl OpenCalls {
+    fn new(now: Instant) -> OpenCalls {
+        OpenCalls { count: Cell::new(0), last_ended_at: Cell::new(now), changed: Wake::new() }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.count.get() == 0
+    }
+}
+
 /// Counts one call as open until it is dropped.
 struct OpenCallGuard(Rc<OpenCalls>);
 
@@ -62,6 +103,7 @@
 impl Drop for OpenCallGuard {
     fn drop(&mut self) {
         self.0.count.set(self.0.count.get() - 1);
+        self.0.last_ended_at.set(Instant::now());
         self.0.changed.notify(usize::MAX);
     }
 }
@@ -72,23 +114,19 @@
     pub async fn serve(self: Rc<Self>, client: ClientConnection) {
         let alarm = Rc::new(FloodAlarm::default());
         let Some(mut connection) = self.handshake(&client, &alarm).await else { return };
-        let calls = Rc::new(OpenCalls::default());
-        let mut draining = false;
+        let calls = Rc::new(OpenCalls::new(Instant::now()));
+        let mut state = ConnectionState::Open;
         loop {
-            client.set_busy(calls.count.get() > 0);
-            match self.next_event(&client, &alarm, &calls, &mut connection, draining).await {
-                ConnectionEvent::Call(call) => self.clone().start_call(*call, &calls),
+            client.set_busy(!calls.is_empty());
+            match self.next_event(&client, &alarm, &calls, &mut connection, state).await {
+                ConnectionEvent::Call(call) => self.clone().accept_call(*call, &calls, state),
                 ConnectionEvent::Flood => return self.end_flooding(&alarm, connection).await,
                 ConnectionEvent::Drain => {
-                    draining = true;
+                    state = ConnectionState::Draining { since: Instant::now() };
                     connection.graceful_shutdown();
-                    // If no call is open, only the close of the connection remains to be awaited.
-                    if calls.count.get() == 0 {
-                        return drain(&mut connection).await;
-                    }
                 }
                 ConnectionEvent::OpenCallsChanged => {}
-                ConnectionEvent::Closed => return,
+                ConnectionEvent::Closed | ConnectionEvent::FlushTimedOut => return,
             }
         }
     }
@@ -123,14 +161,14 @@
     }
 
     /// Waits for the next event. If several are ready, a flood takes precedence, followed by a call or the
-    /// end of the connection, a drain, and a change in the number of open calls.
+    /// end of the connection, a drain or its time limit, and a change in the number of open calls.
     async fn next_event(
         &self,
         client: &ClientConnection,
         alarm: &FloodAlarm,
         calls: &OpenCalls,
         connection: &mut GuardedConnection<'_>,
-        draining: bool,
+        state: ConnectionState,
     ) -> ConnectionEvent {
         let changed = calls.changed.listen();
         let accept = async {
@@ -147,34 +185,37 @@
             changed.await;
             ConnectionEvent::OpenCallsChanged
         };
-        let is_idle = calls.count.get() == 0 && !draining;
-        let drain = async {
-            self.until_drain_required(client, is_idle, draining).await;
-            ConnectionEvent::Drain
+        let ending = async {
+            match state {
+                ConnectionState::Open => {
+                    self.until_drain_required(client, calls).await;
+                    ConnectionEvent::Drain
+                }
+                ConnectionState::Draining { since } => {
+                    until_without_calls_for(calls, since, FLUSH_TIMEOUT).await;
+                    ConnectionEvent::FlushTimedOut
+                }
+            }
         };
-        flood.or(accept).or(drain).or(changed).await
+        flood.or(accept).or(ending).or(changed).await
     }
 
-    /// Resolves when the connection must accept no more calls, because it has been idle for
-    /// `idle_timeout_s`, it is evicted, or the process is shutting down. The idle timeout applies only if
-    /// `is_idle` is set, and a shutdown is ignored if the connection is already `draining`.
-    async fn until_drain_required(&self, client: &ClientConnection, is_idle: bool, draining: bool) {
-        let idle_since = Instant::now();
-        let idle = async {
-            if is_idle {
-                Timer::at(idle_since + to_duration(self.limits.idle_timeout_s)).await;
-            } else {
-                std::future::pending::<()>().await;
-            }
-        };
-        let stopping = async {
-            if draining {
-                std::future::pending::<()>().await;
-            } else {
-                self.shutdown.drain_started().await;
-            }
-        };
-        idle.or(client.evicted()).or(stopping).await;
+    /// Completes when an open connection must start to drain, because it has been idle for `idle_timeout_s`,
+    /// it is evicted, or the process is shutting down.
+    async fn until_drain_required(&self, client: &ClientConnection, calls: &OpenCalls) {
+        let idle_timeout = to_duration(self.limits.idle_timeout_s);
+        let idle = until_without_calls_for(calls, client.accepted_at(), idle_timeout);
+        idle.or(client.evicted()).or(self.shutdown.drain_started()).await;
+    }
+
+    /// Serves a call in a separate task, or refuses it if the connection has been draining for too long.
+    fn accept_call(self: Rc<Self>, call: IncomingCall, calls: &Rc<OpenCalls>, state: ConnectionState) {
+        if state.accepts_calls(Instant::now()) {
+            self.start_call(call, calls);
+        } else {
+            let (_, mut respond) = call;
+            respond.send_reset(Reason::REFUSED_STREAM);
+        }
     }
 
     fn start_call(self: Rc<Self>, call: IncomingCall, calls: &Rc<OpenCalls>) {
@@ -199,8 +240,12 @@
     }
 }
 
-/// Waits, for at most [`FLUSH_TIMEOUT`], for the end of a connection that is draining and has no open calls.
-async fn drain(connection: &mut GuardedConnection<'_>) {
-    let closed = async { while poll_fn(|cx| connection.poll_accept(cx)).await.is_some_and(|c| c.is_ok()) {} };
-    timeout_at(Instant::now() + FLUSH_TIMEOUT, closed).await;
+/// Completes when no call has been open for `duration`, counted from `start` at the earliest. Never completes
+/// while a call is open, so the caller must call this again when the number of open calls changes.
+async fn until_without_calls_for(calls: &OpenCalls, start: Instant, duration: Duration) {
+    if calls.is_empty() {
+        Timer::at(calls.last_ended_at.get().max(start) + duration).await;
+    } else {
+        std::future::pending::<()>().await;
+    }
 }
--- a/tests/grpc/connections.rs
+++ b/tests/grpc/connections.rs
@@ -8,6 +8,7 @@
 use marlgap::net::grpc::status::Code;
 
 use crate::common::*;
+use crate::raw::{frame, literal, read_goaway, send_raw};
 use crate::rig::{new_rig, ONCE, SAFE};
 use crate::standin::Client;
 
@@ -78,40 +79,9 @@
     drop(rig.program.wait_for_log("connection to a server given up"));
 }
 
-/// Opens a connection, and sends raw frames after the preface and empty SETTINGS.
-fn send_raw(front: SocketAddr, frames: &[u8]) -> std::net::TcpStream {
-    let mut stream = connect(front);
-    let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0".to_vec();
-    bytes.extend_from_slice(frames);
-    // The front may close the connection in the middle of a flood.
-    drop(stream.write_all(&bytes));
-    stream
-}
-
-/// Reads up to the first GOAWAY, and returns its error code; `None` if the connection ends without one.
-fn read_goaway(stream: &mut std::net::TcpStream) -> Option<u32> {
-    loop {
-        let mut header = [0; 9];
-        stream.read_exact(&mut header).ok()?;
-        let mut payload = vec![0; usize::from(header[1]) << 8 | usize::from(header[2])];
-        stream.read_exact(&mut payload).ok()?;
-        if header[3] == 7 {
-            return Some(u32::from_be_bytes(payload[4..8].try_into().expect("four")));
-        }
-    }
-}
-
 #[test]
 fn floods_are_ended_by_goaway_without_effect_on_other_connections() {
     let rig = new_rig("grpc_floods", 1, |file| file["grpc"]["front"]["idle_s"] = 1.0.into());
-    let frame = |kind: u8, flags: u8, stream: u32, payload: &[u8]| {
-        let length = (payload.len() as u32).to_be_bytes();
-        [&length[1..], &[kind, flags], &stream.to_be_bytes(), payload].concat()
-    };
-    // Request headers as HPACK literals without indexing, so that no dynamic table is needed.
-    let literal = |name: &str, value: &str| {
-        [&[0, name.len() as u8][..], name.as_bytes(), &[value.len() as u8], value.as_bytes()].concat()
-    };
     let head = [
         literal(":method", "POST"),
         literal(":scheme", "http"),
--- a/tests/grpc/main.rs
+++ b/tests/grpc/main.rs
@@ -4,7 +4,9 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod connections;
+mod evictions;
 mod outcomes;
+mod raw;
 mod requests;
 mod rig;
 mod shutdown;
--- a/tests/grpc/rig.rs
+++ b/tests/grpc/rig.rs
@@ -29,6 +29,20 @@
     start_rig(name, 1, |_| (), Program::spawn_with_operator_file)
 }
 
+/// Starts the program like [`new_rig_on_platform`], with `descriptors` descriptors for both fronts together.
+pub fn new_rig_with_descriptors(name: &str, descriptors: usize) -> Rig {
+    let limit = format!("\"sockets\":{descriptors}");
+    start_rig(
+        name,
+        1,
+        |_| (),
+        |folder| {
+            replace_in_configuration(folder, "\"sockets\":1024", &limit);
+            Program::spawn_with_operator_file(folder)
+        },
+    )
+}
+
 fn start_rig(
     name: &str,
     count: usize,
--- a/tests/grpc/standin.rs
+++ b/tests/grpc/standin.rs
@@ -148,6 +148,8 @@
 pub struct Client {
     executor: Rc<LocalExecutor<'static>>,
     send: h2::client::SendRequest<Bytes>,
+    /// Closed when the connection has ended.
+    ended: async_channel::Receiver<()>,
 }
 
 impl Client {
@@ -173,8 +175,22 @@
             .handshake(stream.compat())
             .await
             .expect("handshake");
-        executor.spawn(async { drop(connection.await) }).detach();
-        Rc::new(Client { executor, send })
+        let (end_sender, ended) = async_channel::bounded(1);
+        let run = async move {
+            drop(connection.await);
+            drop(end_sender);
+        };
+        executor.spawn(run).detach();
+        Rc::new(Client { executor, send, ended })
+    }
+
+    /// Completes when the connection has ended.
+    pub async fn ended(&self) {
+        let _ = self.ended.recv().await;
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_closed()
     }
 
     pub fn executor(&self) -> &Rc<LocalExecutor<'static>> {
