Match search servers' answers to their requests by X-Opaque-Id

Cause: answers were matched by their order on the connection. A second copy that arrived after the idle check, behind the next request, was read as its answer, and each later answer went to the search after it. Explanations: a copy read as the next answer would give each search the hit of the one before on its connection, also with one client; a mix-up between searches under way at once would need several. With one client on one connection, search 1 got the hit of search 0.

Change: an answer is used only if no other request on its connection can have caused it: it is the first one, or it names its request, and the request before had another id. One copy of the answer before is skipped. A connection whose server names no requests carries one request. Health checks, whose answers name nothing, open a connection of their own. What is sent stays; the connections moved out of servers.rs.

--- a/src/net/opensearch/mod.rs
+++ b/src/net/opensearch/mod.rs
@@ -4,7 +4,9 @@
 //! - `query_api`: client connections;
 //! - `query`, `search`, `merge`: parsing, execution and answer of a search;
 //! - `protected`, `outcome`: searches that the cluster protects, and what it stores of them;
-//! - `servers`: connections to the search servers.
+//! - `servers`: attempts at the search servers;
+//! - `connections`: connections to them.
+pub mod connections;
 pub mod merge;
 pub mod outcome;
 mod protected;
--- a/src/net/opensearch/servers.rs
+++ b/src/net/opensearch/servers.rs
@@ -1,22 +1,23 @@
 //! Client side of the search servers (HTTP/1.1): the transport of the query API's coordinator.
 //!
-//! This module owns the registry of known servers and the connections to them, both those in use and idle
-//! ones. It never retries an attempt: the coordinator decides how to proceed after its outcome.
+//! This module owns the registry of known servers; `connections` owns the connections to them. It never
+//! retries an attempt: the coordinator decides how to proceed after its outcome.
 //!
 //! Invariants: a connection carries one request at a time. An attempt that is abandoned closes its
 //! connection, which is how the public specification cancels a search. Nothing is sent without a
 //! [`SendPermit`].
 #![warn(missing_docs)]
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::FutureExt;
 use slog::{debug, Logger};
 
+use super::connections::{Connections, REQUEST_ID_HEADER};
 use super::merge::{self, ShardError, ShardFailure};
 use super::query::Search;
 use crate::balancer::interface::{Endpoint, LoadReport, Outcome, ReplicaId, ShardId};
@@ -26,18 +27,15 @@
 use crate::net::dns_sd::registry::{ServerChange, ServerRegistry};
 use crate::net::dns_sd::watcher::FollowsServerList;
 use crate::net::dns_sd::zone_file::Server;
-use crate::net::http::{self, HttpError, Message, MessageKind};
+use crate::net::http::{HttpError, Message};
 use crate::net::invariants;
-use crate::net::socket::{self, ConnectError, Stream};
 use crate::net::timeout_at;
 use crate::send_policy::{SendConditions, SendPermit};
 
 /// Time limit for a health check.
 const MAX_PROBE_TIME: Duration = Duration::from_millis(250);
-/// Fraction of the servers' idle timeout for which an idle connection is reused.
-const IDLE_TIME_FRACTION: f64 = 0.8;
-/// Largest response of one shard, in bytes.
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
+/// Id of a request that carries none.
+const NO_REQUEST_ID: &str = "";
 
 /// Progress of a search on each shard, from which the answer to the client is built.
 #[derive(Default)]
@@ -62,16 +60,10 @@
     pub progress: Rc<RefCell<SearchProgress>>,
 }
 
-/// Idle connections, each with the time since which it has been idle.
-type Idle = Vec<(Stream, Instant)>;
-
 /// The transport of the query API's coordinator.
 pub struct SearchServers {
     registry: RefCell<ServerRegistry>,
-    idle: RefCell<BTreeMap<ReplicaId, Idle>>,
-    settings: ConnectionSettings,
-    /// Number of connections that may still be opened.
-    free_descriptors: Cell<usize>,
+    connections: Rc<Connections>,
     log: Logger,
 }
 
@@ -80,7 +72,7 @@
         let (listed, changes) = self.registry.borrow_mut().apply_list(servers, zones, clock);
         for (replica, change) in changes {
             if !matches!(change, ServerChange::Listed(_)) {
-                self.close(replica);
+                self.connections.close_idle(replica);
             }
         }
         listed
@@ -92,56 +84,11 @@
     pub fn new(settings: ConnectionSettings, descriptors: usize, log: Logger) -> Rc<Self> {
         Rc::new(SearchServers {
             registry: RefCell::default(),
-            idle: RefCell::default(),
-            settings,
-            free_descriptors: Cell::new(descriptors),
+            connections: Connections::new(settings, descriptors),
             log,
         })
     }
 
-    fn close(&self, replica: ReplicaId) {
-        let idle = self.idle.borrow_mut().remove(&replica).unwrap_or_default();
-        self.free_descriptors.set(self.free_descriptors.get() + idle.len());
-    }
-
-    /// Returns an idle connection to a server if one is still open, and a new connection otherwise.
-    ///
-    /// # Errors
-    ///
-    /// Returns the outcome of the attempt if no connection is available. A lack of local resources is not
-    /// counted against the server.
-    async fn connection(
-        self: &Rc<Self>,
-        replica: ReplicaId,
-        address: SocketAddr,
-    ) -> Result<ConnectionLease, Outcome> {
-        let oldest_reusable =
-            Instant::now().checked_sub(self.settings.idle_timeout.mul_f64(IDLE_TIME_FRACTION));
-        while let Some((stream, used)) = self.take_idle(replica) {
-            self.free_descriptors.set(self.free_descriptors.get() + 1);
-            if oldest_reusable.is_none_or(|oldest_reusable| used > oldest_reusable) && stream.is_idle() {
-                return Ok(ConnectionLease::new(self, stream));
-            }
-        }
-        if self.free_descriptors.get() == 0 {
-            return Err(Outcome::NeverSent);
-        }
-        let deadline = Instant::now() + self.settings.connect_timeout;
-        // The descriptor is reserved before connecting, since many connects may be in progress at once.
-        let mut lease = ConnectionLease::reserve(self);
-        let stream = socket::connect(address, deadline).await.map_err(|e| match e {
-            ConnectError::LocalFailure(_) => Outcome::NeverSent,
-            ConnectError::Refused(_) | ConnectError::TimedOut => Outcome::ConnectFailed,
-        })?;
-        stream.set_nodelay();
-        lease.stream = Some(stream);
-        Ok(lease)
-    }
-
-    fn take_idle(&self, replica: ReplicaId) -> Option<(Stream, Instant)> {
-        self.idle.borrow_mut().get_mut(&replica)?.pop()
-    }
-
     fn ready(&self, replica: ReplicaId) -> Option<(SocketAddr, u64)> {
         self.registry.borrow().ready_address(replica)
     }
@@ -153,7 +100,8 @@
         stop: &CancellationToken,
     ) -> AttemptResult {
         let Some((address, incarnation)) = self.ready(call.replica) else { return Outcome::NeverSent.into() };
-        let mut lease = match self.connection(call.replica, address).await {
+        let request_id = request_id(call);
+        let mut lease = match self.connections.acquire(call.replica, address, &request_id).await {
             Ok(lease) => lease,
             Err(outcome) => {
                 let error = ShardError::new(503, "connect_exception", "connecting to the server failed");
@@ -175,9 +123,7 @@
         let Ok(permit) = conditions.permit().inspect_err(|denied| invariants::record_denial(*denied)) else {
             return Outcome::NeverSent.into();
         };
-        let request = request(call, address, permit);
-        let Some(stream) = lease.stream.as_mut() else { return Outcome::ConnectFailed.into() };
-        if stream.write_all(&request).await.is_err() {
+        if lease.send(&request(call, address, &request_id, permit)).await.is_err() {
             return self.failed(
                 call,
                 Outcome::ConnectFailed,
@@ -185,12 +131,11 @@
             );
         }
         call.context.progress.borrow_mut().started = true;
-        let mut buffer = Buffer::default();
-        match http::read(stream, &mut buffer, MessageKind::Response, MAX_RESPONSE_BYTES).await {
-            Ok(message) => {
-                let result = self.classify(call, &message, &buffer);
-                if message.keep_alive && buffer.unread().len() == message.length {
-                    self.keep_idle(call.replica, incarnation, lease);
+        match lease.read_answer(&request_id).await {
+            Ok(answer) => {
+                let result = self.classify(call, &answer.message, &answer.buffer);
+                if answer.is_reusable && self.is_current(call.replica, incarnation) {
+                    self.connections.keep_idle(call.replica, lease, &request_id);
                 }
                 result
             }
@@ -239,57 +184,27 @@
         outcome.into()
     }
 
-    fn keep_idle(&self, replica: ReplicaId, incarnation: u64, mut lease: ConnectionLease) {
-        if self.registry.borrow().get(replica).is_some_and(|k| k.incarnation == incarnation) {
-            if let Some(stream) = lease.stream.take() {
-                // The descriptor stays in use by the idle connection, so the lease does not release it.
-                lease.holds_descriptor = false;
-                self.idle.borrow_mut().entry(replica).or_default().push((stream, Instant::now()));
-            }
-        }
+    /// Returns whether this is still the incarnation of a known server.
+    fn is_current(&self, replica: ReplicaId, incarnation: u64) -> bool {
+        self.registry.borrow().get(replica).is_some_and(|known| known.incarnation == incarnation)
     }
 }
 
-/// A connection in use. Its descriptor is released when this is dropped, unless the connection is kept idle.
-struct ConnectionLease {
-    stream: Option<Stream>,
-    servers: Rc<SearchServers>,
-    /// Whether the descriptor is released on drop.
-    holds_descriptor: bool,
-}
-
-impl ConnectionLease {
-    fn reserve(servers: &Rc<SearchServers>) -> ConnectionLease {
-        servers.free_descriptors.set(servers.free_descriptors.get().saturating_sub(1));
-        ConnectionLease { stream: None, servers: servers.clone(), holds_descriptor: true }
-    }
-
-    fn new(servers: &Rc<SearchServers>, stream: Stream) -> ConnectionLease {
-        let mut lease = ConnectionLease::reserve(servers);
-        lease.stream = Some(stream);
-        lease
-    }
+/// Returns the id of a request: the id that the client gave, and the shard.
+fn request_id(call: &Call<SearchServers>) -> String {
+    format!("{}.{}", call.context.opaque_id, call.shard.0)
 }
 
-impl Drop for ConnectionLease {
-    fn drop(&mut self) {
-        if self.holds_descriptor {
-            self.servers.free_descriptors.set(self.servers.free_descriptors.get() + 1);
-        }
-    }
-}
-
-fn request(call: &Call<SearchServers>, address: SocketAddr, permit: SendPermit) -> Vec<u8> {
-    let RequestContext { search, opaque_id, has_two_steps, .. } = &*call.context;
+fn request(call: &Call<SearchServers>, address: SocketAddr, request_id: &str, permit: SendPermit) -> Vec<u8> {
+    let RequestContext { search, has_two_steps, .. } = &*call.context;
     let timeout_ms = permit.timeout_ms().max(1);
     let body = if *has_two_steps && call.step == Step::First { &search.ranking } else { &search.body };
     format!(
         "POST /{}/_search?preference=_shards%3A{}&allow_partial_search_results=false&timeout={timeout_ms}ms HTTP/1.1\r\n\
-         Host: {address}\r\nX-Opaque-Id: {opaque_id}.{}\r\nContent-Type: application/json\r\n\
+         Host: {address}\r\n{REQUEST_ID_HEADER}: {request_id}\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\n\r\n{body}",
         search.index,
         call.shard.0,
-        call.shard.0,
         body.len()
     )
     .into_bytes()
@@ -310,22 +225,21 @@
         result.unwrap_or(Outcome::TimedOut.into())
     }
 
+    /// Probes a server on a new connection: nothing in the answer to a probe names it, so an answer to an
+    /// earlier request could be taken for it on a connection that has carried one.
     async fn health_check(self: Rc<Self>, replica: ReplicaId) -> (bool, Option<LoadReport>) {
         let deadline = Instant::now() + MAX_PROBE_TIME;
         let probe = async {
             let (address, _) = self.ready(replica)?;
-            let mut lease = self.connection(replica, address).await.ok()?;
-            let stream = lease.stream.as_mut()?;
+            let mut lease = self.connections.open(replica, address).await.ok()?;
             let request = format!("GET / HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-            stream.write_all(request.as_bytes()).await.ok()?;
-            let answer =
-                http::read(stream, &mut Buffer::default(), MessageKind::Response, MAX_RESPONSE_BYTES).await;
-            answer.ok().map(|m| m.status)
+            lease.send(request.as_bytes()).await.ok()?;
+            lease.read_answer(NO_REQUEST_ID).await.ok().map(|answer| answer.message.status)
         };
         (timeout_at(deadline, probe).await.flatten() == Some(200), None)
     }
 
     fn close_idle(&self, replica: ReplicaId) {
-        self.close(replica);
+        self.connections.close_idle(replica);
     }
 }
