Wait for room with a query that may have run at its lost owner

Cause: run_recorded_search answered 429 whenever the coordinator was full, also after a takeover, whatever the owner before had been granted, and a majority stored that as the outcome. Explanations: the coordinator's limit would say "too many searches are open", the cluster's own limits "the cluster cannot accept the search now".

Change: a query is rejected only if no attempt of any owner can have run. One that may have run waits for room up to its deadline, and ends with 504 if there is none; the coordinator tells when it has room again. So a value that was recorded before the loss is still answered.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -41,7 +41,7 @@
 const ZONES: [&str; 9] = ["a", "b", "c", "a", "b", "c", "a", "b", "c"];
 
 fn setup(protect: bool) -> Setup {
-    Setup { protect, direct: true, threads: 3 }
+    Setup { protect, direct: true, threads: 3, ..Setup::default() }
 }
 
 /// Returns the `q` quantile of sorted values by the nearest-rank method, or NaN if there are none.
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -68,6 +68,8 @@
     clock: Clock,
     /// Notified when there is a new event for the next round.
     wake: event_listener::Event,
+    /// Notified after each round that leaves room for another query.
+    capacity_available: event_listener::Event,
     subscriptions: Subscriptions,
     executor: Rc<LocalExecutor<'static>>,
     transport: Rc<T>,
@@ -110,6 +112,7 @@
             counts: Cell::default(),
             clock: Clock::new(),
             wake: event_listener::Event::new(),
+            capacity_available: event_listener::Event::new(),
             subscriptions: Subscriptions { request_sender, requests },
             executor,
             transport,
@@ -162,6 +165,18 @@
         self.state.borrow().is_full(self.max_open)
     }
 
+    /// Completes when the next query would not be refused because of the limit on open queries and
+    /// parts. Another task may submit a query first, unless the caller submits its own immediately.
+    /// Cancel safe.
+    pub async fn until_not_full(&self) {
+        while self.is_full() {
+            let available = self.capacity_available.listen();
+            if self.is_full() {
+                available.await;
+            }
+        }
+    }
+
     /// Returns whether queries can be served: a non-empty endpoint list has been processed in a
     /// round, or the coordinator was told not to wait for one.
     pub fn is_ready(&self) -> bool {
--- a/src/coordinator/rounds.rs
+++ b/src/coordinator/rounds.rs
@@ -34,6 +34,9 @@
                 continue;
             }
             self.round();
+            if !self.is_full() {
+                self.capacity_available.notify(usize::MAX);
+            }
             // Lets other ready tasks add their events to the same round, and lets sends go out
             // before the next one.
             futures_lite::future::yield_now().await;
--- a/src/net/opensearch/protected.rs
+++ b/src/net/opensearch/protected.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Executes a recorded search and returns its response.
+    ///
+    /// Invariant: a search is rejected only if no attempt of any owner can have run, because its client takes
+    /// a rejection as proof of that. A search that may have run waits for capacity instead, up to its
+    /// deadline.
     async fn run_recorded_search(
         &self,
         record: &Record,
@@ -146,11 +151,14 @@
         prepared.query.deadline = client_deadline;
         let prior_progress = if takeover { prior_progress(&record.parts) } else { BTreeMap::new() };
         // Attempts that a previous owner may have sent count as started.
-        prepared.progress.borrow_mut().started =
-            prior_progress.values().any(|e| e.granted_attempts > e.never_ran_attempts);
+        let may_have_run = prior_progress.values().any(|e| e.granted_attempts > e.never_ran_attempts);
+        prepared.progress.borrow_mut().started = may_have_run;
         let gate = Rc::new(ClusterGate { execution: execution.clone(), progress: prepared.progress.clone() });
         prepared.query.protection = Some(TakeoverProtection { gate, prior_progress });
         let PreparedSearch { search, progress, parts, started_at, deadline, query } = prepared;
+        if may_have_run && timeout_at(deadline, self.coordinator.until_not_full()).await.is_none() {
+            return error(504, "timeout_exception", "the search ran out of time");
+        }
         match self.coordinator.submit(query) {
             None => self.rejected_response("too many searches are open"),
             Some(handle) => {
--- a/tests/cluster_processes/cluster.rs
+++ b/tests/cluster_processes/cluster.rs
@@ -60,6 +60,14 @@
     pub direct: bool,
     /// The number of threads for all stand-ins and clients.
     pub threads: usize,
+    /// The number of open queries and parts that a member may hold.
+    pub max_open: usize,
+}
+
+impl Default for Setup {
+    fn default() -> Setup {
+        Setup { protect: true, direct: false, threads: 1, max_open: 1000 }
+    }
 }
 
 /// Writes the configuration file of a member: protected classes, other members and servers.
@@ -109,7 +117,7 @@
 impl Cluster {
     /// Starts a cluster with one member for each entry of `zones` and waits until it is formed and serving.
     pub fn start(test: &str, zones: &[&str]) -> Cluster {
-        Cluster::start_with(test, zones, Setup { protect: true, direct: false, threads: 1 })
+        Cluster::start_with(test, zones, Setup::default())
     }
 
     pub fn start_with(test: &str, zones: &[&str], setup: Setup) -> Cluster {
@@ -131,8 +139,13 @@
         let addresses = if setup.direct { unused_addresses(zones.len()) } else { proxies.addresses.clone() };
         let folder = |n: usize| {
             let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-            let folder =
-                write_configuration(&format!("fleet-{test}-{n}"), &servers.addresses[n], nowhere, 3, 1000);
+            let folder = write_configuration(
+                &format!("fleet-{test}-{n}"),
+                &servers.addresses[n],
+                nowhere,
+                3,
+                setup.max_open,
+            );
             drop(std::fs::remove_file(folder.join("log.redb")));
             write_config(&folder, n, &addresses, &zones, setup);
             folder
--- a/tests/cluster_processes/main.rs
+++ b/tests/cluster_processes/main.rs
@@ -1,5 +1,6 @@
 //! Tests of several coordinator processes with faults injected between them. One checker validates what
 //! clients observe and what the servers receive.
+mod capacity;
 mod checker;
 mod client;
 mod cluster;
--- a/tests/cluster_processes/standins.rs
+++ b/tests/cluster_processes/standins.rs
@@ -98,7 +98,7 @@
 /// Exercises servers, clients and the checker with a single process outside a cluster.
 #[test]
 fn servers_and_clients_record_everything_that_one_process_does() {
-    let cluster = Cluster::start_with("plain", &["a"], Setup { protect: false, direct: false, threads: 1 });
+    let cluster = Cluster::start_with("plain", &["a"], Setup { protect: false, ..Setup::default() });
     cluster.servers.script(|part| match (part.id, part.shard) {
         ("held", 1) => ServerAction::Hold,
         ("failed", 1) => ServerAction::Fail,
@@ -131,7 +131,7 @@
 #[test]
 fn members_form_a_cluster_without_protected_classes() {
     let cluster =
-        Cluster::start_with("forms", &["a", "b", "c"], Setup { protect: false, direct: false, threads: 1 });
+        Cluster::start_with("forms", &["a", "b", "c"], Setup { protect: false, ..Setup::default() });
     assert_eq!(cluster.submit(2, &lookup("q")).status(), 200);
     cluster.check_history();
 }
