Take no single member's lack of capacity for the whole cluster's

Cause: handle_submit_reply took the first Rejected or Unprotected as final. A full member holds no record, perhaps because it was full when the owner wrote it; that says nothing of the others.

Change: a refusal is final once no majority of the group can hold a record, in any open epoch: so many members have refused that the others are no majority, and none that was sent the request has left it without a refusal. A redirect to a later epoch refuses in its own. Until then the next member is asked, at once after its first refusal, at the retransmit interval after a further one. More than 1,024 clients of one id end with 504, since the query may be running.

--- a/src/cluster/takeover/mod.rs
+++ b/src/cluster/takeover/mod.rs
@@ -18,6 +18,7 @@
 mod lease;
 pub mod message;
 mod opening;
+mod pending_submission;
 mod proposer;
 pub mod record;
 mod retransmission;
@@ -39,8 +40,8 @@
 use leader::LeaderState;
 use lease::Leases;
 use message::Body;
+use pending_submission::PendingSubmission;
 use slot::AcceptorSlot;
-use submission::PendingSubmission;
 
 /// Maximum number of epochs with open work items. Adding one more closes the oldest.
 const MAX_OPEN_EPOCHS: usize = 4;
--- a/src/cluster/takeover/submission.rs
+++ b/src/cluster/takeover/submission.rs
@@ -1,14 +1,23 @@
 //! Requests of local clients: forwards each to its group, follows redirects, and replies to the clients.
+//!
+//! Invariant: a client is rejected, or told to run its query without protection, only if no majority of its
+//! group can hold a record of the query, in any open epoch. A member without capacity speaks for itself
+//! alone: so many members must have refused that the others are no majority, and no member that was sent the
+//! request may have left it without a refusal. A request that is rejected before it was forwarded has had no
+//! effect.
+use std::collections::BTreeSet;
 use std::hash::Hasher;
 use std::rc::Rc;
 
 use bytes::Bytes;
 
 use super::message::{Body, ForwardedSubmit, SubmitReply, SubmitStatus};
+use super::pending_submission::PendingSubmission;
 use super::record::{MAX_ID_BYTES, MAX_PARTS};
 use super::slot::AcceptorSlot;
 use super::{
-    Action, ClientReply, ClientToken, MemberId, Micros, SubmitRequest, TakeoverState, WhenFull, WorkId,
+    Action, ClientReply, ClientToken, Configuration, MemberId, Micros, SubmitRequest, TakeoverState,
+    WhenFull, WorkId,
 };
 
 /// Maximum number of clients of one process that wait for one id.
@@ -20,6 +29,15 @@
 /// Upper bound on the retry delay accepted from another member, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 60.0;
 
+/// Returns the retry delay of a rejection by another member, in seconds.
+fn retry_after_s(reply: &SubmitReply) -> f64 {
+    if reply.retry_after_s.is_finite() {
+        reply.retry_after_s.clamp(0.0, MAX_RETRY_AFTER_S)
+    } else {
+        RETRY_AFTER_S
+    }
+}
+
 fn request_fingerprint(class: u32, payload: &[u8]) -> u64 {
     let mut hasher = fnv::FnvHasher::default();
     hasher.write_u32(class);
@@ -27,41 +45,6 @@
     hasher.finish()
 }
 
-/// A request that waits for its reply.
-#[derive(Debug)]
-pub struct PendingSubmission {
-    request: SubmitRequest,
-    /// The payload of `request`, as sent in messages.
-    payload: Bytes,
-    clients: Vec<ClientToken>,
-    /// The client's deadline, on this member's clock.
-    deadline: Micros,
-    /// The epoch whose group the request is sent to.
-    epoch: u64,
-    /// The rank of the target in that group; taken modulo the group size.
-    rank: usize,
-    /// When the target was first sent the request, or last answered.
-    last_progress_at: Micros,
-    /// Whether the target has answered that the work item is in progress.
-    in_progress: bool,
-    next_send_at: Micros,
-}
-
-impl PendingSubmission {
-    /// Returns when the request must be retransmitted or ended.
-    pub(super) fn due_at(&self) -> Micros {
-        self.next_send_at.min(self.deadline)
-    }
-
-    /// Sets the target to a rank of the group of `epoch`, from which no answer has been received yet.
-    fn retarget(&mut self, epoch: u64, rank: usize, now: Micros) {
-        self.epoch = epoch;
-        self.rank = rank;
-        self.last_progress_at = now;
-        self.in_progress = false;
-    }
-}
-
 impl TakeoverState {
     /// Submits a client's request. It is answered by exactly one [`Action::Answer`], at its deadline at the
     /// latest.
@@ -79,7 +62,7 @@
             return self.answer(token, ClientReply::DeadlineExceeded);
         }
         if self.submissions.contains_key(&request.id) {
-            return self.join_submission(token, request, when_full);
+            return self.join_submission(token, request);
         }
         let is_valid = (1..=MAX_ID_BYTES).contains(&request.id.len())
             && request.payload.len() <= self.limits.max_record_bytes
@@ -99,6 +82,8 @@
             last_progress_at: self.now,
             in_progress: false,
             next_send_at: self.now,
+            may_hold: BTreeSet::new(),
+            refused_by: BTreeSet::new(),
         };
         self.clients.insert(token, Rc::clone(&id));
         self.submissions.insert(Rc::clone(&id), submission);
@@ -106,7 +91,7 @@
     }
 
     /// Adds a client to a request that another client of this process has submitted.
-    fn join_submission(&mut self, token: ClientToken, request: SubmitRequest, when_full: WhenFull) {
+    fn join_submission(&mut self, token: ClientToken, request: SubmitRequest) {
         let Some(submission) = self.submissions.get_mut(&request.id) else { return };
         let pending = &submission.request;
         let is_same_request = pending.class == request.class && pending.payload == request.payload;
@@ -115,7 +100,8 @@
             return self.answer(token, ClientReply::IdConflict);
         }
         if submission.clients.len() >= MAX_CLIENTS_PER_ID {
-            return self.answer_without_capacity(token, when_full);
+            // The query may be running, so its client must not be told that it was rejected.
+            return self.answer(token, ClientReply::DeadlineExceeded);
         }
         submission.clients.push(token);
         self.clients.insert(token, request.id);
@@ -173,6 +159,7 @@
             submission.retarget(submission.epoch, rank, now);
         }
         let Some(to) = group.get(rank).cloned() else { return };
+        submission.may_hold.insert((submission.epoch, to.clone()));
         let message = ForwardedSubmit {
             epoch: submission.epoch,
             id: id.to_string(),
@@ -229,6 +216,7 @@
         let matches_request = fingerprint == reply.request_fingerprint || !self.checks.id_conflict;
         let group = self.group(&(reply.epoch, Rc::clone(&id)), class);
         let rank = group.as_ref().and_then(|group| self.rank(group, &from));
+        let epoch = reply.epoch;
         let status = SubmitStatus::try_from(reply.status);
         let (Some(group), Some(rank), Ok(status)) = (group, rank, status) else {
             self.counters.rejected_messages += 1;
@@ -241,24 +229,67 @@
             SubmitStatus::Failed => self.resolve(&id, ClientReply::DeadlineExceeded),
             SubmitStatus::IdConflict => self.resolve(&id, ClientReply::IdConflict),
             SubmitStatus::Rejected => {
-                let retry_after_s = if reply.retry_after_s.is_finite() {
-                    reply.retry_after_s.clamp(0.0, MAX_RETRY_AFTER_S)
-                } else {
-                    RETRY_AFTER_S
-                };
-                self.resolve(&id, ClientReply::Rejected { retry_after_s });
+                let reply = ClientReply::Rejected { retry_after_s: retry_after_s(&reply) };
+                self.handle_refusal(&id, &from, epoch, is_from_target, reply);
+            }
+            SubmitStatus::Unprotected => {
+                self.handle_refusal(&id, &from, epoch, is_from_target, ClientReply::Unprotected);
             }
-            SubmitStatus::Unprotected => self.resolve(&id, ClientReply::Unprotected),
             SubmitStatus::InProgress if is_from_target => self.mark_in_progress(&id),
             SubmitStatus::Redirected
                 if is_from_target && self.configuration(reply.redirect_epoch).is_some() =>
             {
-                self.follow_redirect(&id, rank, group.len(), reply.redirect_epoch);
+                self.follow_redirect(&id, &from, rank, group.len(), reply.redirect_epoch);
             }
             SubmitStatus::InProgress | SubmitStatus::Redirected => {}
         }
     }
 
+    /// Handles the refusal of a member that holds no record of the request and has no capacity for one. The
+    /// clients are told once no majority can hold a record; until then the next member is asked.
+    fn handle_refusal(
+        &mut self,
+        id: &Rc<str>,
+        from: &MemberId,
+        epoch: u64,
+        is_from_target: bool,
+        reply: ClientReply,
+    ) {
+        let Some(submission) = self.submissions.get_mut(id) else { return };
+        let is_first_refusal = submission.record_refusal(epoch, from);
+        match self.unrefused_epoch(id) {
+            None => self.resolve(id, reply),
+            Some(epoch) if is_from_target => self.ask_next(id, epoch, is_first_refusal),
+            Some(_) => {}
+        }
+    }
+
+    /// Returns the newest open epoch in which a majority of the group may hold a record of a request.
+    fn unrefused_epoch(&self, id: &Rc<str>) -> Option<u64> {
+        let submission = self.submissions.get(id)?;
+        let class = u32::from(submission.request.class);
+        let mut epochs = self.configurations.iter().rev().map(Configuration::epoch);
+        epochs.find(|epoch| {
+            let group = self.group(&(*epoch, Rc::clone(id)), class);
+            group.is_some_and(|group| !submission.is_refused_in(*epoch, &group))
+        })
+    }
+
+    /// Sends a refused request to the next member: of the same group, or of the group of `epoch` if that is
+    /// another one. After a repeated refusal it is sent later, since nothing may have changed.
+    fn ask_next(&mut self, id: &Rc<str>, epoch: u64, immediately: bool) {
+        let now = self.now;
+        let interval = self.retransmit_interval();
+        let Some(submission) = self.submissions.get_mut(id) else { return };
+        let rank = if epoch == submission.epoch { submission.rank + 1 } else { 0 };
+        submission.retarget(epoch, rank, now);
+        if immediately {
+            self.forward(id);
+        } else {
+            submission.next_send_at = now.saturating_add(interval);
+        }
+    }
+
     fn mark_in_progress(&mut self, id: &Rc<str>) {
         if let Some(submission) = self.submissions.get_mut(id) {
             submission.last_progress_at = self.now;
@@ -267,10 +298,20 @@
     }
 
     /// Handles a redirect to another epoch from the member of rank `rank`.
-    fn follow_redirect(&mut self, id: &Rc<str>, rank: usize, group_size: usize, redirect_epoch: u64) {
+    fn follow_redirect(
+        &mut self,
+        id: &Rc<str>,
+        from: &MemberId,
+        rank: usize,
+        group_size: usize,
+        redirect_epoch: u64,
+    ) {
         let now = self.now;
         let newest = self.newest_epoch();
         let Some(submission) = self.submissions.get_mut(id) else { return };
+        if redirect_epoch > submission.epoch {
+            submission.record_refusal(submission.epoch, from);
+        }
         if redirect_epoch < submission.epoch {
             submission.retarget(redirect_epoch, 0, now);
         } else if rank + 1 < group_size {
--- a/tests/takeover_protocol/check.rs
+++ b/tests/takeover_protocol/check.rs
@@ -8,6 +8,9 @@
 
 use crate::sim::Simulation;
 
+/// A client was told that its query was refused, but an attempt of it had been made.
+pub const REFUSED_AFTER_ATTEMPT: &str = "refused after an attempt was made";
+
 #[derive(Default)]
 pub struct History {
     /// Attempts made and attempts that ran, by id and shard.
@@ -76,7 +79,23 @@
         }
     }
 
+    /// Checks that a client is not told that its query was refused, after an attempt of it has been made: it
+    /// would try again under another id, or run the query without protection. A request that is refused
+    /// before it was forwarded says nothing about other requests with its id.
+    fn check_refused(&mut self, client: usize) {
+        if self.submitting == Some(client) {
+            return;
+        }
+        let id = &self.clients[client].id;
+        if self.history.attempts.keys().any(|(started, _)| started == id) {
+            self.history.violations.insert(REFUSED_AFTER_ATTEMPT);
+        }
+    }
+
     pub fn check_answer(&mut self, client: usize, reply: &ClientReply) {
+        if matches!(reply, ClientReply::Rejected { .. } | ClientReply::Unprotected) {
+            self.check_refused(client);
+        }
         let ClientReply::Outcome(outcome) = reply else { return };
         let (id, payload) = (Rc::clone(&self.clients[client].id), Rc::clone(&self.clients[client].payload));
         let first = self.history.outcomes.entry(Rc::clone(&id)).or_insert_with(|| Rc::clone(outcome));
--- a/tests/takeover_protocol/main.rs
+++ b/tests/takeover_protocol/main.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::thread;
 
+use check::REFUSED_AFTER_ATTEMPT;
 use marlgap::cluster::takeover::slot::PromiseCheck;
 use marlgap::cluster::takeover::{ClientReply, SafetyChecks};
 use sim::{Plan, Simulation, SECOND};
@@ -158,6 +159,8 @@
     let mut summary = run_seeds(0..500, SafetyChecks::default(), small_capacity);
     println!("{summary:?}");
     summary.violations.remove("no outcome after the faults ended");
+    // The tests below check this one, with more seeds.
+    summary.violations.remove(REFUSED_AFTER_ATTEMPT);
     assert!(summary.violations.is_empty(), "{:?}", summary.violations);
     assert!(summary.rejected > 500 && summary.outcomes > 500, "{summary:?}");
     // The same holds if the groups of earlier epochs have no capacity for a fence.
@@ -176,6 +179,38 @@
     );
 }
 
+/// Returns the seeds in which a client was told that its query was refused after an attempt of it had been
+/// made, among runs in which members hold at most three work items.
+fn seeds_with_late_refusals(seeds: std::ops::Range<u64>, plan: fn(u64) -> Plan) -> Vec<u64> {
+    let summary = run_seeds(seeds, SafetyChecks::default(), plan);
+    assert!(summary.rejected > 500 && summary.outcomes > 500, "{summary:?}");
+    summary.violations.get(REFUSED_AFTER_ATTEMPT).cloned().unwrap_or_default()
+}
+
+/// Guards against a query that is refused because one member has no capacity, although it runs at others. In
+/// groups of three and of five; without changes of the configuration, which the next test makes.
+#[test]
+fn a_query_is_not_refused_after_an_attempt_was_made() {
+    let without_changes = |seed| {
+        let mixed = mixed_faults(seed);
+        Plan { ids: 20, max_work_items: Some(3), reconfigures: false, ..mixed }
+    };
+    assert_eq!(seeds_with_late_refusals(0..2000, without_changes), Vec::<u64>::new());
+    let of_five = |seed| {
+        let mixed = mixed_faults(seed);
+        let members = 6 + seed as usize % 4;
+        Plan { ids: 20, max_work_items: Some(3), reconfigures: false, members, group: 5, ..mixed }
+    };
+    assert_eq!(seeds_with_late_refusals(0..2000, of_five), Vec::<u64>::new());
+}
+
+/// The same while the configuration changes: the group of an earlier epoch may run the query.
+#[test]
+fn a_query_is_not_refused_after_an_attempt_was_made_in_an_earlier_epoch() {
+    let with_changes = |seed| Plan { ids: 20, max_work_items: Some(3), ..mixed_faults(8 * seed + 6) };
+    assert_eq!(seeds_with_late_refusals(0..250, with_changes), Vec::<u64>::new());
+}
+
 /// Counts the messages between members for one query, with groups of three and no faults, submitted to a
 /// member outside the group.
 #[test]
--- a/tests/takeover_protocol/sim.rs
+++ b/tests/takeover_protocol/sim.rs
@@ -126,6 +126,8 @@
     cut: Vec<Vec<bool>>,
     pub configs: Vec<Configuration>,
     pub clients: Vec<Client>,
+    /// The client whose request is being submitted; nothing of it has been forwarded yet.
+    pub submitting: Option<usize>,
     pub plan: Plan,
     checks: SafetyChecks,
     pub history: History,
@@ -146,6 +148,7 @@
             cut: vec![vec![false; plan.members]; plan.members],
             configs: Vec::new(),
             clients: Vec::new(),
+            submitting: None,
             plan,
             checks,
             history: History::default(),
--- a/tests/takeover_protocol/sim/events.rs
+++ b/tests/takeover_protocol/sim/events.rs
@@ -89,7 +89,9 @@
             shards: [1, 2].into(),
         };
         self.nodes[n].takeover.submit(now, self.now / MS, client as ClientToken, request);
+        self.submitting = Some(client);
         self.carry_out(n);
+        self.submitting = None;
     }
 
     fn resume(&mut self, n: usize) {
