--- a/review/standins2/src/main.rs
+++ b/review/standins2/src/main.rs
@@ -3,6 +3,7 @@
 //! Everything listens on loopback addresses. Standard library only.
 mod cases;
 mod grpc;
+mod guard;
 mod http;
 mod members;
 mod platform;
@@ -12,6 +13,9 @@
     let arguments: Vec<String> = std::env::args().collect();
     let case = arguments.get(1).map_or("", String::as_str);
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
+    if case == "guard" {
+        return guard::watch(arguments.get(2).map_or("", String::as_str));
+    }
     let run = match case {
         "restart" => cases::restart::run,
         "starve" => cases::starve::run,
@@ -26,6 +30,7 @@
     let path = |n: usize| std::path::PathBuf::from(arguments.get(n).map_or(".", String::as_str));
     let record = record::Record::create(&path(4));
     let setting = members::Setting { root: path(2), folder: path(3), record: record.clone() };
+    guard::start(&setting.folder);
     let code = match run(&setting, trouble) {
         Ok(true) => (0, "held"),
         Ok(false) => (1, "broken"),
--- a/review/standins2/src/members.rs
+++ b/review/standins2/src/members.rs
@@ -85,6 +85,7 @@
     pub fn start(&mut self) {
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(&self.command).current_dir(&self.root);
+        command.env("REVIEW_FOLDER", self.pids.parent().unwrap_or(&self.root));
         command.env_remove("RELAY_CONFIG").stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the shell starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
