--- a/review/standins2/src/cases/starve.rs
+++ b/review/standins2/src/cases/starve.rs
@@ -9,7 +9,7 @@
 use crate::{http, platform};
 
 const USUAL_CLIENTS: usize = 6;
-const BAD_CLIENTS: usize = 40;
+const BAD_CLIENTS: usize = 64;
 /// What each bad client sends at once.
 const REQUESTS: usize = 300;
 const DEADLINE_MS: u64 = 480;
