Measure how long tasks delay each other on the one thread

The process now runs its tasks in a loop of its own (net::run_loop, on async-executor's tick) instead of LocalExecutor::run, and logs every 10 s the number of polls, the longest poll of one task and the longest time without a look for I/O. I/O is collected after at most 200 polls, as before.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub mod invariants;
 pub mod opensearch;
 pub mod platform_api;
+pub mod run_loop;
 pub mod socket;
 
 use std::cell::Cell;
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -7,9 +7,9 @@
 
 use crate::coordinator::{Coordinator, Transport};
 use crate::net::cluster::ClusterNode;
-use crate::net::invariants;
+use crate::net::{invariants, run_loop};
 
-/// Interval between two lines of one front.
+/// Interval between two lines of one kind.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Logs the totals of the coordinator of a front for as long as the process runs.
@@ -29,6 +29,18 @@
     }
 }
 
+/// Logs how long tasks delayed each other, for as long as the process runs.
+pub(super) async fn log_run_loop(log: Logger) {
+    loop {
+        Timer::at(Instant::now() + LOG_INTERVAL).await;
+        let stats = run_loop::take_stats();
+        info!(log, "run loop";
+            "polls" => stats.polls,
+            "longest_poll_us" => stats.longest_poll.as_micros() as u64,
+            "longest_cycle_us" => stats.longest_cycle.as_micros() as u64);
+    }
+}
+
 /// Logs the totals of the cluster node for as long as the process runs.
 pub(super) async fn log_cluster_counts(node: Rc<ClusterNode>, log: Logger) {
     loop {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -35,7 +35,7 @@
 use crate::balancer::interface::Settings;
 use crate::config::platform::{Config, MIN_SHARED_DESCRIPTORS, RESERVED_DESCRIPTORS};
 use crate::net::cluster::ClusterNode;
-use crate::net::invariants;
+use crate::net::{invariants, run_loop};
 
 pub use self::error::ServeError;
 use self::front::{AcceptingFront, Startup};
@@ -60,7 +60,8 @@
 ) -> Result<(), ServeError> {
     invariants::log_to(log.clone());
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, operator_file, signals, executor.clone(), log)))
+    let serve = serve(config, operator_file, signals, executor.clone(), log);
+    async_io::block_on(run_loop::run(&executor, serve))
 }
 
 async fn serve(
@@ -81,6 +82,7 @@
     let platform_deadline = config.platform.as_ref().map(|p| longest_deadline(&p.deployment.settings));
     let query_api = config.operator.as_ref().and_then(|operator| operator.query_api.as_ref());
     let search_deadline = query_api.map(|q| longest_deadline(&q.deployment.settings));
+    startup.executor.spawn(metrics::log_run_loop(log.clone())).detach();
     // Only the newest address matters.
     let (discovery_address_sender, discovery_address_changes) = async_channel::bounded(1);
     let running = start(&startup, config, discovery_address_changes).await?;
