Limit what one peer's input may delay other work by, with a budget for each poll

Cause: the task of a client's connection goes on for as long as input is there and its answer needs no wait (serve_requests; its reads never wait, as the client is faster).

Change: each poll of a task has a budget of 64 KiB of input and output, an operation counts as 2 KiB at least (net::io_budget). It sits in the socket, so that it holds on all fronts, links and backends. Once it is used up, connections to clients wait for a turn, of which the run loop grants one for each look for I/O; other tasks yield. A gRPC call counts as 8 KiB, an accepted connection as 2 KiB. A wait for a turn is not taken for an empty socket (arrival times, end of keep-alive).

Why it works: a ready task waits for one turn at most, however many clients have more to read, and I/O is looked for after 1 MiB or 200 polls.

--- a/src/net/grpc/front/connection.rs
+++ b/src/net/grpc/front/connection.rs
@@ -24,11 +24,15 @@
 use crate::net::grpc::guard::FloodGuard;
 use crate::net::grpc::io::{FloodAlarm, GuardedStream};
 use crate::net::http_server::ClientConnection;
-use crate::net::timeout_at;
+use crate::net::{io_budget, timeout_at};
 
 /// Time limit for sending the rest of the last response to a slow client on a draining connection.
 const RESPONSE_FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Charge for a call that is started, in bytes of the budget for one poll. A call of a few bytes starts a task
+/// and a query.
+const CALL_CHARGE_BYTES: usize = 4 * io_budget::MIN_CHARGE_BYTES;
+
 /// The server side of a connection whose input is inspected by the flood guard.
 type GuardedConnection<'s> = Connection<Compat<GuardedStream<'s>>, Bytes>;
 
@@ -120,7 +124,11 @@
         loop {
             client.set_busy(!calls.is_empty());
             match self.next_event(&client, &alarm, &calls, &mut connection, state).await {
-                ConnectionEvent::Call(call) => self.clone().accept_call(*call, &calls, state),
+                ConnectionEvent::Call(call) => {
+                    self.clone().accept_call(*call, &calls, state);
+                    io_budget::charge(CALL_CHARGE_BYTES);
+                    client.stream().read_allowed().await;
+                }
                 ConnectionEvent::Flood => return self.end_flooding(&alarm, connection).await,
                 ConnectionEvent::Drain => {
                     state = ConnectionState::Draining { since: Instant::now() };
--- a/src/net/http_server/acceptor.rs
+++ b/src/net/http_server/acceptor.rs
@@ -29,7 +29,7 @@
 use super::{ClientConnection, GracefulShutdown};
 use crate::net::descriptors::DescriptorBudget;
 use crate::net::socket::{self, Accepted, Stream};
-use crate::net::{timeout_at, LogRateLimiter};
+use crate::net::{io_budget, timeout_at, LogRateLimiter};
 
 /// Pause after an accept that failed for lack of a local resource.
 const LOCAL_FAILURE_PAUSE: Duration = Duration::from_millis(5);
@@ -157,7 +157,11 @@
                 self.wait_for_slot().await;
             }
             match socket::accept(&listener) {
-                Accepted::Stream(stream, _) => self.spawn_connection(stream, waiting_since, &serve),
+                Accepted::Stream(stream, _) => {
+                    self.spawn_connection(stream, waiting_since, &serve);
+                    io_budget::charge(io_budget::MIN_CHARGE_BYTES);
+                    io_budget::yield_if_exhausted().await;
+                }
                 Accepted::NonePending if self.shutdown.is_keep_alive_stopped() => return,
                 Accepted::NonePending => {
                     waiting_since = None;
@@ -189,13 +193,14 @@
     /// waited to be accepted.
     fn spawn_connection<F>(
         self: &Rc<Self>,
-        stream: Stream,
+        mut stream: Stream,
         waiting_since: Option<Instant>,
         serve: &impl Fn(ClientConnection) -> F,
     ) where
         F: Future<Output = ()> + 'static,
     {
         stream.set_nodelay();
+        stream.read_in_turn();
         let now = Instant::now();
         let slot = Rc::new(ConnectionSlot::new(now));
         let number = self.next_number.get();
--- a/src/net/http_server/connection.rs
+++ b/src/net/http_server/connection.rs
@@ -117,6 +117,9 @@
     ///   ([`HttpError::status`]).
     /// - [`HttpError::Io`] if the connection failed.
     pub async fn next_request(&mut self) -> Result<Message, HttpError> {
+        // Requests that are in the buffer already count as well. After this, a first read that is pending
+        // has found nothing, so that a connection is not closed over a request that waits for its turn.
+        self.stream.read_allowed().await;
         // A line end after the body of a request does not start another request.
         if !self.input.has_started_request() {
             self.input.buffer.consume(usize::MAX);
--- a/src/net/http_server/input.rs
+++ b/src/net/http_server/input.rs
@@ -72,6 +72,8 @@
     /// Reads once and returns the number of bytes read and their arrival time.
     async fn read(&mut self, mut stream: &Stream) -> io::Result<(usize, Instant)> {
         let Input { buffer, last_empty_at, .. } = self;
+        // Otherwise a read that waits for its turn would pass for one that has found the socket empty.
+        stream.read_allowed().await;
         let mut waited = false;
         let mut filled = pin!(buffer.fill(&mut stream));
         let bytes = poll_fn(|cx| {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod http_server;
 pub mod invariants;
+pub mod io_budget;
 pub mod opensearch;
 pub mod platform_api;
 pub mod run_loop;
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -8,16 +8,19 @@
 //!
 //! The errors are those documented for accept(2), connect(2), listen(2) and socket(2) on Linux.
 #![warn(missing_docs)]
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_io::{AsyncRead, AsyncWrite};
 use rustix::io::Errno;
 
+use super::io_budget::{self, Reading};
 use super::timeout_at;
 
 /// Length of the kernel's accept queue. If the queue is short, the kernel drops connections when hundreds
@@ -32,9 +35,13 @@
 /// be ready within 10 s, and because clients connect 30 s after the start at the latest.
 pub const STARTUP_RETRY_TIME: Duration = Duration::from_secs(8);
 
-/// A TCP connection that repeats interrupted system calls.
+/// A TCP connection that repeats interrupted system calls. Its reads and writes use up the budget of the task
+/// that performs them ([`io_budget`]); a read waits if the budget is used up, a write never does.
 #[derive(Debug)]
-pub struct Stream(Async<TcpStream>);
+pub struct Stream {
+    socket: Async<TcpStream>,
+    reading: Reading,
+}
 
 /// Errors of [`connect`].
 #[derive(Debug, thiserror::Error)]
@@ -101,7 +108,7 @@
     let connected = async {
         loop {
             match Async::<TcpStream>::connect(address).await {
-                Ok(stream) => return Ok(Stream(stream)),
+                Ok(socket) => return Ok(Stream::new(socket)),
                 Err(e) if is_local_failure(&e) => last_failure = Some(e),
                 Err(e) => return Err(ConnectError::Refused(e)),
             }
@@ -179,8 +186,8 @@
 /// Accepts the next pending connection, if there is one. Never blocks.
 pub fn accept(listener: &Async<TcpListener>) -> Accepted {
     match listener.get_ref().accept() {
-        Ok((stream, from)) => match Async::new(stream) {
-            Ok(stream) => Accepted::Stream(Stream(stream), from),
+        Ok((socket, from)) => match Async::new(socket) {
+            Ok(socket) => Accepted::Stream(Stream::new(socket), from),
             Err(e) => Accepted::LocalFailure(e),
         },
         Err(e) if e.kind() == ErrorKind::WouldBlock => Accepted::NonePending,
@@ -211,22 +218,38 @@
 }
 
 impl Stream {
+    fn new(socket: Async<TcpStream>) -> Stream {
+        Stream { socket, reading: Reading::Yielding }
+    }
+
+    /// Makes reads wait for a turn when the budget is used up, so that all connections of this kind together
+    /// delay other tasks no more than one of them does.
+    pub fn read_in_turn(&mut self) {
+        self.reading = Reading::InTurn(RefCell::default());
+    }
+
+    /// Completes when the budget allows a read. If the task reads next, that read does not wait for the
+    /// budget: it is pending only if nothing has arrived. Cancel safe.
+    pub async fn read_allowed(&self) {
+        poll_fn(|cx| self.reading.poll_allowed(cx)).await;
+    }
+
     /// Disables Nagle's algorithm (TCP_NODELAY) and returns whether that succeeded. A failure is not
     /// critical, since its only effect is that small writes are delayed.
     pub fn set_nodelay(&self) -> bool {
-        self.0.get_ref().set_nodelay(true).is_ok()
+        self.socket.get_ref().set_nodelay(true).is_ok()
     }
 
     /// Shuts down the writing side. Errors are ignored, as they mean that the connection has already ended.
     pub fn shut_down_writing(&self) {
-        let _ = self.0.get_ref().shutdown(Shutdown::Write);
+        let _ = self.socket.get_ref().shutdown(Shutdown::Write);
     }
 
     /// Returns whether the connection is open and has nothing to read. If bytes are available, the first one
     /// is read and discarded, so the connection must not be used any more.
     pub fn is_idle(&self) -> bool {
         loop {
-            match self.0.get_ref().read(&mut [0]) {
+            match self.socket.get_ref().read(&mut [0]) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 read => return matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock),
             }
@@ -252,22 +275,33 @@
 
 impl AsyncRead for &Stream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
-        uninterrupted(cx, |cx| Pin::new(&mut &self.0).poll_read(cx, bytes))
+        ready!(self.reading.poll_allowed(cx));
+        let limit = io_budget::limit_read(bytes.len());
+        let bytes = &mut bytes[..limit];
+        charged(uninterrupted(cx, |cx| Pin::new(&mut &self.socket).poll_read(cx, bytes)))
     }
 }
 
 impl AsyncWrite for &Stream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        uninterrupted(cx, |cx| Pin::new(&mut &self.0).poll_write(cx, bytes))
+        charged(uninterrupted(cx, |cx| Pin::new(&mut &self.socket).poll_write(cx, bytes)))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        uninterrupted(cx, |cx| Pin::new(&mut &self.0).poll_flush(cx))
+        uninterrupted(cx, |cx| Pin::new(&mut &self.socket).poll_flush(cx))
     }
 
     fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        uninterrupted(cx, |cx| Pin::new(&mut &self.0).poll_close(cx))
+        uninterrupted(cx, |cx| Pin::new(&mut &self.socket).poll_close(cx))
+    }
+}
+
+/// Charges a completed read or write to the task that performed it.
+fn charged(transferred: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    if let Poll::Ready(result) = &transferred {
+        io_budget::charge(*result.as_ref().unwrap_or(&0));
     }
+    transferred
 }
 
 impl AsyncRead for Stream {
