Name the parts of a flood's requests in the tests of delays

Change: start, element and end are parameters, the checks' parameters stand by themselves; what is checked stays.

--- a/tests/delays/requests.rs
+++ b/tests/delays/requests.rs
@@ -10,11 +10,11 @@
     QueryApi,
 }
 
-/// Returns a request with a body of almost the maximum size, which names the same element many times.
-fn large_request(head: &str, element: &str, end: &str) -> Vec<u8> {
+/// Returns a request with a body of almost the maximum size: `start`, then `element` many times, then `end`.
+fn large_request(head: &str, start: &str, element: &str, end: &str) -> Vec<u8> {
     let elements = vec![element; 60_000 / (element.len() + 1)].join(",");
-    let body = format!("{}{elements}{end}", if end == "}" { "{\"query\":[" } else { "{\"tablets\":[" });
-    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    let length = start.len() + elements.len() + end.len();
+    format!("{head}Content-Length: {length}\r\n\r\n{start}{elements}{end}").into_bytes()
 }
 
 /// Returns a query of the platform that names a tile twice.
@@ -22,7 +22,14 @@
     let head = format!(
         "POST /api HTTP/1.1\r\nReq-Id: bad{n}\r\nReq-Kind: field-lookup\r\nReq-Deadline-Ms: 4000\r\n"
     );
-    large_request(&head, r#"{"tablet":1,"fraction":0.0005}"#, r#"],"statement":"s"}"#)
+    let tile = r#"{"tablet":1,"fraction":0.0005}"#;
+    large_request(&head, r#"{"tablets":["#, tile, r#"],"statement":"s"}"#)
+}
+
+/// Returns a search whose query is not an object.
+fn invalid_search(_: usize) -> Vec<u8> {
+    let head = "POST /fields/_search HTTP/1.1\r\nContent-Type: application/json\r\n";
+    large_request(head, r#"{"query":["#, r#"{"match_all":{"boost":1.0}}"#, "]}")
 }
 
 /// Floods a front with `count` requests from each client while the program is stopped, and then sends
@@ -30,7 +37,8 @@
 fn check_single_request(
     name: &str,
     front: Front,
-    (count, request): (usize, fn(usize) -> Vec<u8>),
+    count: usize,
+    request: fn(usize) -> Vec<u8>,
     single: Vec<u8>,
 ) {
     let node = StubDataNode::start(true);
@@ -54,13 +62,13 @@
 /// Guards against queries that are lost because clients send hundreds of large requests that are refused.
 #[test]
 fn a_query_does_not_wait_for_all_invalid_queries_of_others() {
-    check_single_request("delays_invalid", Front::Platform, (100, invalid_query), platform_query());
+    check_single_request("delays_invalid", Front::Platform, 100, invalid_query, platform_query());
 }
 
 /// Guards against a health check that fails because clients send hundreds of large requests that are refused.
 #[test]
 fn a_health_check_does_not_wait_for_all_invalid_queries_of_others() {
-    check_single_request("delays_health", Front::Platform, (100, invalid_query), health_request());
+    check_single_request("delays_health", Front::Platform, 100, invalid_query, health_request());
 }
 
 /// Guards against queries that are lost because clients send thousands of tiny requests, many of which arrive
@@ -68,15 +76,11 @@
 #[test]
 fn a_query_does_not_wait_for_all_tiny_requests_of_others() {
     let health = |_| health_request();
-    check_single_request("delays_tiny", Front::Platform, (4000, health), platform_query());
+    check_single_request("delays_tiny", Front::Platform, 4000, health, platform_query());
 }
 
 /// Guards against a query of one front that is lost because clients flood another front of the process.
 #[test]
 fn a_query_does_not_wait_for_all_invalid_searches_of_another_front() {
-    let invalid_search = |_| {
-        let head = "POST /fields/_search HTTP/1.1\r\nContent-Type: application/json\r\n";
-        large_request(head, r#"{"match_all":{"boost":1.0}}"#, "]}")
-    };
-    check_single_request("delays_search", Front::QueryApi, (100, invalid_search), platform_query());
+    check_single_request("delays_search", Front::QueryApi, 100, invalid_search, platform_query());
 }
