Show only an excerpt of what a peer sent in log lines and errors

A query of 60 KB with a text in place of its parts was echoed whole, in its log line and in its 400. A line that waits for a slow reader of the log holds it: up to 2,048 lines, five a second, while the other clients see nothing of it. The same for invalid searches, and for paths and messages of invalid gRPC calls.

A text that may contain what a peer sent now ends after 200 characters (net::Excerpt).

--- a/src/net/grpc/front/call.rs
+++ b/src/net/grpc/front/call.rs
@@ -22,7 +22,7 @@
 use crate::net::grpc::servers::Servers;
 use crate::net::grpc::status::{self, Code, Status};
 use crate::net::grpc::wire::{self, Framer};
-use crate::net::timeout_at;
+use crate::net::{timeout_at, Excerpt};
 
 /// The decision module ends a query this long before the client's deadline. A query that ends within this
 /// time of the deadline is therefore reported as DEADLINE_EXCEEDED.
@@ -66,8 +66,8 @@
         };
         if let Err(status) = result {
             if let Some(suppressed) = self.log_limiters.invalid.permit() {
-                warn!(self.log, "invalid call"; "path" => path, "status" => status.code.name(),
-                    "error" => &status.message, "suppressed" => suppressed);
+                warn!(self.log, "invalid call"; "path" => %Excerpt(path), "status" => status.code.name(),
+                    "error" => %Excerpt(&status.message), "suppressed" => suppressed);
             }
             client.end(wire::trailers(&status));
         }
@@ -185,7 +185,7 @@
     /// Rejects a call because the limit on open queries and parts is reached.
     fn reject(&self, call: &RoutedCall<'_>, client: &mut Caller) {
         if let Some(suppressed) = self.log_limiters.rejected.permit() {
-            info!(self.log, "call rejected"; "why" => "too many open queries", "path" => call.head.uri.path(),
+            info!(self.log, "call rejected"; "why" => "too many open queries", "path" => %Excerpt(call.head.uri.path()),
                 "open" => self.coordinator.open_queries(), "held" => self.coordinator.open_parts(),
                 "suppressed" => suppressed);
         }
@@ -240,7 +240,7 @@
 
     fn log_disconnect(&self, call: &RoutedCall<'_>) {
         if let Some(suppressed) = self.log_limiters.disconnected.permit() {
-            info!(self.log, "client disconnected"; "path" => call.head.uri.path(),
+            info!(self.log, "client disconnected"; "path" => %Excerpt(call.head.uri.path()),
                 "after_ms" => call.started.elapsed().as_millis() as u64, "suppressed" => suppressed);
         }
     }
@@ -267,7 +267,7 @@
         let last_failure = exchange.last_failure.borrow();
         let status = status::final_status(outcome, last_failure.as_ref(), response_started, out_of_time);
         if let Some(suppressed) = self.log_limiters.unanswered.permit() {
-            info!(self.log, "call not answered"; "path" => call.head.uri.path(),
+            info!(self.log, "call not answered"; "path" => %Excerpt(call.head.uri.path()),
                 "status" => status.code.name(), "outcome" => ?outcome,
                 "after_ms" => call.started.elapsed().as_millis() as u64, "suppressed" => suppressed);
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::fmt::{self, Display};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -53,6 +54,24 @@
 }
 
 /// Limits the rate of one kind of log line.
+/// A text in log lines and error responses that may contain what a peer sent: only its start is shown, so that a
+/// line that waits for a slow reader of the log holds little memory.
+pub struct Excerpt<T>(pub T);
+
+impl<T> Excerpt<T> {
+    const MAX_CHARACTERS: usize = 200;
+}
+
+impl<T: Display> Display for Excerpt<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = self.0.to_string();
+        match text.char_indices().nth(Self::MAX_CHARACTERS) {
+            Some((end, _)) => write!(f, "{}...", &text[..end]),
+            None => f.write_str(&text),
+        }
+    }
+}
+
 ///
 /// During a flood with a single cause, writing a line for each event costs more processor time than the
 /// lines are worth.
--- a/src/net/opensearch/search.rs
+++ b/src/net/opensearch/search.rs
@@ -18,7 +18,7 @@
 use crate::net::cluster::ClusterNode;
 use crate::net::http::Response;
 use crate::net::http_server::GracefulShutdown;
-use crate::net::LogRateLimiter;
+use crate::net::{Excerpt, LogRateLimiter};
 
 /// An answer that arrives this close to the deadline is treated as cut off by it.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
@@ -68,7 +68,7 @@
         let parameters = target.split_once('?').map_or("", |(_, parameters)| parameters);
         let reject = |invalid: InvalidSearch| {
             if let Some(suppressed) = self.log_limiter.permit() {
-                warn!(self.log, "invalid search"; "error" => %invalid, "suppressed" => suppressed);
+                warn!(self.log, "invalid search"; "error" => %Excerpt(&invalid), "suppressed" => suppressed);
             }
             error(400, invalid.kind, &invalid.reason)
         };
--- a/src/net/platform_api/mod.rs
+++ b/src/net/platform_api/mod.rs
@@ -23,7 +23,7 @@
 use super::http_server::{
     readiness_response, serve_requests, ClientConnection, GracefulShutdown, RequestHandler,
 };
-use super::LogRateLimiter;
+use super::{Excerpt, LogRateLimiter};
 use crate::balancer::interface::ShardId;
 use crate::config::settings::Deployment;
 use crate::coordinator::{Coordinator, Query, QueryOutcome};
@@ -76,7 +76,7 @@
             Ok(query) => query,
             Err(e) => {
                 if let Some(suppressed) = self.log_limiters.invalid.permit() {
-                    warn!(self.log, "invalid query"; "error" => %e, "suppressed" => suppressed);
+                    warn!(self.log, "invalid query"; "error" => %Excerpt(&e), "suppressed" => suppressed);
                 }
                 return Ok(Response::new(e.status(), error_body(&e)));
             }
@@ -201,5 +201,5 @@
 }
 
 fn error_body(error: &dyn Display) -> String {
-    serde_json::json!({"error": error.to_string()}).to_string()
+    serde_json::json!({"error": Excerpt(error).to_string()}).to_string()
 }
