Limit what all clients together make the process hold, within its memory

Callers saw a process end, 0.3 s after its start: with hundreds of clients that stop half way through a large request, send tiny chunks or heads of many short fields, it held 57 to 650 MB where limits.memory_mb was 32. Nobody read that key.

A leak would have grown with time, not with connections; a log line would have shown one large request, not hundreds.

Cause: every limit was one for a connection, and nothing multiplied them. A chunk cost 16 bytes for its range, size lines did not count towards the body, buffers doubled, idle connections to data nodes kept their largest frame, and gRPC gave windows back before anything counted.

Now a budget for all clients, a quarter of the memory (net::memory_budget). What exceeds 4 KiB of a connection is leased; when the budget is exhausted, the request that has been incomplete for longest, and for 50 ms at least, is refused with 503 (gRPC: RESOURCE_EXHAUSTED), else the one that needs the memory. Chunked bodies are decoded in place. gRPC connections are limited to as much memory again; answers of data nodes have a budget of an eighth.

Message::length of a chunked message is now what it takes up in the buffer, so two tests look at what is left in the buffer instead of comparing it with the length of the text; http::parse, which only tests used, is gone.

--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -29,6 +29,13 @@
 /// The number of file descriptors if the file has no `limits.sockets`.
 const DEFAULT_DESCRIPTORS: usize = 1024;
 
+/// The minimum value of `limits.memory_mb`.
+const MIN_MEMORY_MB: usize = 16;
+/// The memory in megabytes if the file has no `limits.memory_mb`: the most that the platform grants.
+const DEFAULT_MEMORY_MB: usize = 192;
+/// The number of bytes in a megabyte of `limits.memory_mb`.
+const BYTES_PER_MB: usize = 1_000_000;
+
 /// The interval between two attempts to read a file.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// The time for which a reload retries to read the file.
@@ -65,6 +72,9 @@
     /// `limits.sockets` is too low to serve any client.
     #[error("limits.sockets: {0} is less than the minimum of {least}", least = MIN_DESCRIPTORS)]
     TooFewDescriptors(usize),
+    /// `limits.memory_mb` is too low to serve any client.
+    #[error("limits.memory_mb: {0} is less than the minimum of {least}", least = MIN_MEMORY_MB)]
+    TooLittleMemory(f64),
     /// The deployment settings are invalid.
     #[error(transparent)]
     Settings(SettingsParseError),
@@ -88,6 +98,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -113,6 +124,8 @@
     pub seed: u64,
     /// The maximum number of file descriptors of the process.
     pub max_descriptors: usize,
+    /// The maximum memory of the process, in bytes.
+    pub memory_bytes: usize,
 }
 
 /// The configuration of the platform's front.
@@ -152,7 +165,9 @@
 /// Returns an error if either file cannot be read or is invalid, or if neither is given.
 pub fn read(operator_file: Option<&Path>) -> Result<Config, ConfigError> {
     let operator = operator_file.map(OperatorConfig::read).transpose().map_err(ConfigError::Operator)?;
-    let mut config = Config { platform: None, operator, seed: 0, max_descriptors: DEFAULT_DESCRIPTORS };
+    let memory_bytes = DEFAULT_MEMORY_MB * BYTES_PER_MB;
+    let mut config =
+        Config { platform: None, operator, seed: 0, max_descriptors: DEFAULT_DESCRIPTORS, memory_bytes };
     match variable("RELAY_CONFIG") {
         Some(path) => read_platform(&path, &mut config)?,
         None if config.operator.is_some() => {}
@@ -170,10 +185,7 @@
     if !seed.is_empty() {
         config.seed = u64::from_str_radix(&seed, 16).map_err(|_| ConfigError::Seed(seed))?;
     }
-    config.max_descriptors = file.limits.and_then(|limits| limits.sockets).unwrap_or(config.max_descriptors);
-    if config.max_descriptors < MIN_DESCRIPTORS {
-        return Err(ConfigError::TooFewDescriptors(config.max_descriptors));
-    }
+    read_limits(file.limits.as_ref(), config)?;
     config.platform = Some(PlatformConfig {
         name: variable("RELAY_NAME").or(file.name).unwrap_or_default(),
         listen: parse_address("RELAY_LISTEN", variable("RELAY_LISTEN").or(file.listen))?,
@@ -184,6 +196,24 @@
     Ok(())
 }
 
+/// Takes over the limits of the process.
+fn read_limits(limits: Option<&Limits>, config: &mut Config) -> Result<(), ConfigError> {
+    let Some(limits) = limits else { return Ok(()) };
+    if let Some(descriptors) = limits.sockets {
+        if descriptors < MIN_DESCRIPTORS {
+            return Err(ConfigError::TooFewDescriptors(descriptors));
+        }
+        config.max_descriptors = descriptors;
+    }
+    if let Some(memory_mb) = limits.memory_mb {
+        if memory_mb < MIN_MEMORY_MB as f64 {
+            return Err(ConfigError::TooLittleMemory(memory_mb));
+        }
+        config.memory_bytes = (memory_mb * BYTES_PER_MB as f64) as usize;
+    }
+    Ok(())
+}
+
 /// Returns an environment variable. A value that is not valid Unicode counts as not set.
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok()
--- a/src/net/data_nodes/mod.rs
+++ b/src/net/data_nodes/mod.rs
@@ -31,6 +31,7 @@
 use slog::Logger;
 
 use super::descriptors::DescriptorBudget;
+use super::memory_budget::MemoryBudget;
 use super::timeout_at;
 use super::LogRateLimiter;
 use crate::balancer::interface::{EndpointState, ReplicaId};
@@ -106,13 +107,17 @@
     log: Logger,
     log_limiter: LogRateLimiter,
     descriptors: Rc<DescriptorBudget>,
+    /// Memory for partially received answers.
+    memory: Rc<MemoryBudget>,
 }
 
 impl DataNodes {
-    /// Creates the transport without known data nodes. Connections are served by tasks on `executor`.
+    /// Creates the transport without known data nodes. Connections are served by tasks on `executor`;
+    /// `memory` limits the answers that they have received in part.
     pub fn new(
         deployment: Deployment,
         descriptors: Rc<DescriptorBudget>,
+        memory: Rc<MemoryBudget>,
         executor: Rc<LocalExecutor<'static>>,
         log: Logger,
     ) -> Rc<Self> {
@@ -126,6 +131,7 @@
             log,
             log_limiter: LogRateLimiter::default(),
             descriptors,
+            memory,
         })
     }
 
--- a/src/net/data_nodes/reader.rs
+++ b/src/net/data_nodes/reader.rs
@@ -2,8 +2,10 @@
 //!
 //! Invariant: a frame that is malformed or was not requested ends the connection.
 use std::fmt::Display;
+use std::io;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use slog::warn;
 
 use super::connection::{AnsweredAttempt, Connection, QueuedAttempt};
@@ -18,6 +20,8 @@
 
 /// Time limit for receiving a frame, from its first byte on.
 const FRAME_READ_TIMEOUT: Duration = Duration::from_millis(250);
+/// Interval between two attempts to get memory for the rest of a frame.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Time without an answer, while answers are pending, after which a connection is closed if another
 /// connection to the same data node answers.
 const CLOSE_BESIDE_RESPONSIVE_AFTER: Duration = Duration::from_millis(400);
@@ -25,7 +29,7 @@
 impl DataNodes {
     /// Reads answers until the connection ends or delivers an invalid frame.
     pub(super) async fn read(&self, replica: ReplicaId, connection: &Connection, stream: &mut &Stream) {
-        let mut buffer = Buffer::default();
+        let mut buffer = Buffer::with_lease(self.memory.lease());
         let mut frame_started = Instant::now();
         loop {
             if buffer.unread().is_empty() {
@@ -49,7 +53,7 @@
                 // The time limit prevents waiting for a frame that never reaches its stated length.
                 Ok(None) => {
                     let deadline = frame_started + FRAME_READ_TIMEOUT;
-                    match timeout_at(deadline, buffer.fill(stream)).await {
+                    match timeout_at(deadline, fill_with_room(&mut buffer, stream)).await {
                         Some(Ok(n)) if n > 0 => continue,
                         Some(_) => return,
                         None => {
@@ -136,6 +140,19 @@
     }
 }
 
+/// Reads more of a frame, and waits until there is memory for it. Other connections release theirs when their
+/// frames are complete, or have not been completed within [`FRAME_READ_TIMEOUT`].
+async fn fill_with_room(buffer: &mut Buffer, stream: &mut &Stream) -> io::Result<usize> {
+    loop {
+        match buffer.fill(stream).await {
+            Err(e) if e.kind() == io::ErrorKind::OutOfMemory => {
+                Timer::at(Instant::now() + MEMORY_RETRY_INTERVAL).await;
+            }
+            filled => return filled,
+        }
+    }
+}
+
 /// Restarts the measurement of silence if more answers are pending, and notifies the writer that a stream is
 /// free for a waiting attempt.
 fn record_answer(connection: &Connection, now: Instant) {
--- a/src/net/data_nodes/writer.rs
+++ b/src/net/data_nodes/writer.rs
@@ -28,7 +28,7 @@
 /// handshake. The protocol allows this much for each of them.
 const TRANSIT_ALLOWANCE: Duration = Duration::from_millis(50);
 /// Capacity of the write buffer that a connection retains between frames, in bytes.
-const MAX_RETAINED_BYTES: usize = 16 * 1024;
+const MAX_RETAINED_BYTES: usize = 4 * 1024;
 
 /// Contents of the next frame. There is no frame if no bytes were produced.
 #[derive(Default)]
@@ -54,8 +54,6 @@
     pub(super) async fn write(&self, replica: ReplicaId, connection: &Connection, stream: &mut &Stream) {
         let mut bytes = Vec::new();
         while self.wait_for_writable(connection).await {
-            bytes.clear();
-            bytes.shrink_to(MAX_RETAINED_BYTES);
             let mut frame = self.next_frame(replica, connection, &mut bytes);
             // If everything queued was cancelled, the connection has stayed idle from the data node's point
             // of view.
@@ -82,6 +80,9 @@
                 invariants::check_invariant(permit.check_written(written_at));
             }
             connection.being_written.borrow_mut().clear();
+            // A connection may be idle for long after a large frame.
+            bytes.clear();
+            bytes.shrink_to(MAX_RETAINED_BYTES);
         }
     }
 
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -13,6 +13,8 @@
 /// holds could not connect to all of them while clients left most of their share unused.
 pub struct DescriptorBudget {
     total: usize,
+    /// Limit on client connections besides the descriptors.
+    max_clients: usize,
     client_connections: Cell<usize>,
     backend_connections: Cell<usize>,
 }
@@ -20,7 +22,13 @@
 impl DescriptorBudget {
     /// Creates a budget of `total` descriptors, all of them free.
     pub fn new(total: usize) -> DescriptorBudget {
-        DescriptorBudget { total, client_connections: Cell::new(0), backend_connections: Cell::new(0) }
+        DescriptorBudget::with_max_clients(total, usize::MAX)
+    }
+
+    /// Creates a budget of `total` descriptors, of which clients hold at most `max_clients`.
+    pub fn with_max_clients(total: usize, max_clients: usize) -> DescriptorBudget {
+        let (client_connections, backend_connections) = Default::default();
+        DescriptorBudget { total, max_clients, client_connections, backend_connections }
     }
 
     /// Returns the number of descriptors reserved for backends.
@@ -31,7 +39,7 @@
     /// Returns the current limit on the number of client connections.
     pub fn max_client_connections(&self) -> usize {
         let backends = self.backend_connections.get().max(self.backend_reserve());
-        self.total - backends.min(self.total)
+        (self.total - backends.min(self.total)).min(self.max_clients)
     }
 
     /// Sets the current number of client connections.
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -256,9 +256,8 @@
             return Err(DiscoveryError::Status(answer.status));
         }
         let body = answer.body(buffer);
-        let list: EndpointList = serde_json::from_slice(&body).map_err(DiscoveryError::MalformedList)?;
+        let list: EndpointList = serde_json::from_slice(body).map_err(DiscoveryError::MalformedList)?;
         let is_new_version = self.apply_versioned(&list, seq)?;
-        drop(body);
         buffer.consume(answer.length);
         // Unrequested data must not be taken for the answer to the next call.
         if buffer.unread().iter().any(|byte| !byte.is_ascii_whitespace()) {
--- a/src/net/grpc/caller.rs
+++ b/src/net/grpc/caller.rs
@@ -10,6 +10,7 @@
 use h2::{RecvStream, SendStream};
 use http::{header, HeaderMap, HeaderValue, Response};
 
+use super::call_memory::CallMemory;
 use super::exchange::Exchange;
 use super::status::{Code, Status};
 use super::wire::{self, Framer, FramingError};
@@ -56,7 +57,8 @@
 }
 
 impl Caller {
-    /// Reads the request up to the end of its first message, or all of it if `read_all` is set.
+    /// Reads the request up to the end of its first message, or all of it if `read_all` is set. `memory` counts
+    /// what has been read.
     ///
     /// # Errors
     ///
@@ -65,6 +67,7 @@
         &mut self,
         framer: &mut Framer,
         read_all: bool,
+        memory: &CallMemory,
     ) -> Result<BytesMut, Option<Status>> {
         let mut buffer = BytesMut::new();
         while read_all || framer.complete_messages() == 0 {
@@ -72,6 +75,7 @@
                 Some(Ok(data)) => {
                     drop(self.body.flow_control().release_capacity(data.len()));
                     framer.advance(&data).map_err(|e| Some(malformed(e)))?;
+                    memory.grow(data.len(), Instant::now()).map_err(|e| Some(e.into()))?;
                     buffer.extend_from_slice(&data);
                 }
                 Some(Err(_)) => return Err(None),
--- a/src/net/grpc/front.rs
+++ b/src/net/grpc/front.rs
@@ -21,6 +21,7 @@
 use crate::coordinator::Coordinator;
 use crate::grpc_routing::RouteTable;
 use crate::net::http_server::GracefulShutdown;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::LogRateLimiter;
 
 /// The time limit for sending the last frames of a connection, and for the messages of a health check.
@@ -41,6 +42,8 @@
     pub routing: ArcSwap<RoutingConfig>,
     pub limits: FrontLimits,
     pub replay_budget: ReplayBudget,
+    /// Memory for calls that clients have not sent completely.
+    pub memory: Rc<MemoryBudget>,
     pub shutdown: Rc<GracefulShutdown>,
     /// The number of open calls by the pattern of their route, for routes that limit it.
     pub open_calls: RefCell<BTreeMap<String, usize>>,
--- a/src/net/grpc/front/call.rs
+++ b/src/net/grpc/front/call.rs
@@ -15,6 +15,7 @@
 use crate::coordinator::{Query, QueryHandle, QueryOutcome};
 use crate::grpc_routing::Route;
 use crate::net::grpc::attempt::forwarded_headers;
+use crate::net::grpc::call_memory::CallMemory;
 use crate::net::grpc::caller::{malformed, Abort, Caller, ResponseState};
 use crate::net::grpc::exchange::Exchange;
 use crate::net::grpc::health;
@@ -22,6 +23,7 @@
 use crate::net::grpc::servers::Servers;
 use crate::net::grpc::status::{self, Code, Status};
 use crate::net::grpc::wire::{self, Framer};
+use crate::net::memory_budget::MemoryExhausted;
 use crate::net::{timeout_at, Excerpt};
 
 /// The decision module ends a query this long before the client's deadline. A query that ends within this
@@ -49,7 +51,12 @@
 
 impl Front {
     /// Serves a call up to its final status.
-    pub(super) async fn call(&self, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+    pub(super) async fn call(
+        &self,
+        request: Request<RecvStream>,
+        respond: SendResponse<Bytes>,
+        memory: &CallMemory,
+    ) {
         let started = Instant::now();
         let (head, body) = request.into_parts();
         let mut client = Caller { body, state: ResponseState::NotStarted(respond) };
@@ -57,11 +64,11 @@
         let path = head.uri.path();
         let checked = self.check_head(&head);
         if path.starts_with(health::SERVICE) && checked.is_ok() {
-            return self.serve_health(path, client).await;
+            return self.serve_health(path, client, memory).await;
         }
         let routed = checked.and_then(|timeout| route_call(&routing, timeout, started, &head));
         let result = match routed {
-            Ok(call) => Box::pin(self.serve_call(&call, &mut client)).await,
+            Ok(call) => Box::pin(self.serve_call(&call, &mut client, memory)).await,
             Err(status) => Err(status),
         };
         if let Err(status) = result {
@@ -99,8 +106,14 @@
     ///
     /// Returns the status for a call that is invalid, or beyond its route's limit on open calls. The caller
     /// must send that status to the client.
-    async fn serve_call(&self, call: &RoutedCall<'_>, client: &mut Caller) -> Result<(), Status> {
-        let start = self.read_start(call, client).await?;
+    async fn serve_call(
+        &self,
+        call: &RoutedCall<'_>,
+        client: &mut Caller,
+        memory: &CallMemory,
+    ) -> Result<(), Status> {
+        let start = self.read_start(call, client, memory).await?;
+        memory.retain();
         let shards = self.shards(call.route, &call.head.headers, &start.first)?;
         let _open = self.admit(call.routing, call.route)?;
         let query = self.build_query(call, &shards, start.replay);
@@ -114,13 +127,24 @@
     /// Reads the part of a request that is needed before the call is submitted. A request of one message is
     /// read completely, so that every attempt can send all of it. A client stream is read up to the end of
     /// its first message if the route takes the shard from that message, and otherwise not at all.
-    async fn read_start(&self, call: &RoutedCall<'_>, client: &mut Caller) -> Result<RequestStart, Status> {
+    async fn read_start(
+        &self,
+        call: &RoutedCall<'_>,
+        client: &mut Caller,
+        memory: &CallMemory,
+    ) -> Result<RequestStart, Status> {
         let route = call.route;
         let mut replay = ReplayBuffer::new(self.limits.max_replay, self.replay_budget.clone());
         let mut framer = Framer::new(route.max_message_bytes, route.kind.client_streams());
         let unary = !route.kind.client_streams();
         let first = if unary || route.needs_first_message() {
-            let read = client.read_request(&mut framer, unary);
+            let read = client.read_request(&mut framer, unary, memory);
+            let notice = memory.set_reclaimable(Instant::now());
+            let reclaimed = async {
+                notice.reclaimed().await;
+                Err(Some(MemoryExhausted.into()))
+            };
+            let read = read.or(reclaimed);
             let late = Status::new(Code::DeadlineExceeded, "the request did not arrive before the deadline");
             let shut_down = async {
                 self.shutdown.answer_deadline_passed().await;
--- a/src/net/grpc/front/checks.rs
+++ b/src/net/grpc/front/checks.rs
@@ -8,6 +8,7 @@
 use super::{Front, OpenRouteCall, RoutingConfig, FLUSH_TIMEOUT};
 use crate::balancer::interface::ShardId;
 use crate::grpc_routing::{self, Route};
+use crate::net::grpc::call_memory::CallMemory;
 use crate::net::grpc::caller::{grpc_headers, Caller};
 use crate::net::grpc::health;
 use crate::net::grpc::status::{Code, Status};
@@ -75,10 +76,10 @@
     }
 
     /// Serves a call of `grpc.health.v1.Health`, which reports the state of the front itself.
-    pub(super) async fn serve_health(&self, path: &str, mut client: Caller) {
+    pub(super) async fn serve_health(&self, path: &str, mut client: Caller, memory: &CallMemory) {
         let mut framer = Framer::new(1024, false);
         let received =
-            timeout_at(Instant::now() + FLUSH_TIMEOUT, client.read_request(&mut framer, true)).await;
+            timeout_at(Instant::now() + FLUSH_TIMEOUT, client.read_request(&mut framer, true, memory)).await;
         let Some(Ok(message)) = received else {
             return client
                 .end(wire::trailers(&Status::new(Code::InvalidArgument, "the request cannot be read")));
--- a/src/net/grpc/front/connection.rs
+++ b/src/net/grpc/front/connection.rs
@@ -21,14 +21,22 @@
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
 use super::{to_duration, Front, FLUSH_TIMEOUT};
+use crate::net::grpc::call_memory::CallMemory;
+use crate::net::grpc::caller::{Caller, ResponseState};
 use crate::net::grpc::guard::FloodGuard;
 use crate::net::grpc::io::{FloodAlarm, GuardedStream};
+use crate::net::grpc::status::Status;
+use crate::net::grpc::wire;
 use crate::net::http_server::ClientConnection;
+use crate::net::memory_budget::MemoryExhausted;
 use crate::net::{io_budget, timeout_at};
 
 /// Time limit for sending the rest of the last response to a slow client on a draining connection.
 const RESPONSE_FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Number of streams of a connection that h2 remembers for 30 s after they were reset by this side.
+const MAX_RESET_STREAMS: usize = 8;
+
 /// Charge for a call that is started, in bytes of the budget for one poll. A call of a few bytes starts a task
 /// and a query.
 const CALL_CHARGE_BYTES: usize = 4 * io_budget::MIN_CHARGE_BYTES;
@@ -39,6 +47,13 @@
 /// An incoming call: its headers and body, and the handle for its response.
 type IncomingCall = (Request<RecvStream>, SendResponse<Bytes>);
 
+/// A call that is to be started.
+struct AdmittedCall {
+    request: Request<RecvStream>,
+    respond: SendResponse<Bytes>,
+    memory: CallMemory,
+}
+
 /// The events that a connection waits for.
 enum ConnectionEvent {
     /// A call arrived.
@@ -125,7 +140,9 @@
             client.set_busy(!calls.is_empty());
             match self.next_event(&client, &alarm, &calls, &mut connection, state).await {
                 ConnectionEvent::Call(call) => {
-                    self.clone().accept_call(*call, &calls, state);
+                    if let Some(call) = self.admit_call(*call, state) {
+                        self.clone().start_call(call, &calls);
+                    }
                     io_budget::charge(CALL_CHARGE_BYTES);
                     client.stream().read_allowed().await;
                 }
@@ -157,7 +174,7 @@
             .max_header_list_size(limits.max_header_list)
             .initial_window_size(limits.window)
             .initial_connection_window_size(limits.connection_window)
-            .max_concurrent_reset_streams(limits.max_streams as usize)
+            .max_concurrent_reset_streams(MAX_RESET_STREAMS)
             .max_pending_accept_reset_streams(limits.max_streams as usize)
             .max_send_buffer_size(limits.window as usize);
         let latest = client.accepted_at() + to_duration(limits.handshake_timeout_s);
@@ -223,27 +240,41 @@
         idle.or(client.evicted()).or(self.shutdown.drain_started()).await;
     }
 
-    /// Serves a call in a separate task, or refuses it if the connection has been draining for too long.
-    fn accept_call(self: Rc<Self>, call: IncomingCall, calls: &Rc<OpenCalls>, state: ConnectionState) {
-        if state.accepts_calls(Instant::now()) {
-            self.start_call(call, calls);
-        } else {
-            let (_, mut respond) = call;
+    /// Reserves the memory of a call, or refuses it if there is none, or if the connection has been draining
+    /// for too long.
+    fn admit_call(&self, call: IncomingCall, state: ConnectionState) -> Option<AdmittedCall> {
+        let (request, mut respond) = call;
+        let now = Instant::now();
+        if !state.accepts_calls(now) {
             respond.send_reset(Reason::REFUSED_STREAM);
+            return None;
         }
+        let memory = CallMemory::new(self.memory.lease(), request.headers());
+        if memory.reserve_head(now).is_err() {
+            self.refuse_call(request, respond);
+            return None;
+        }
+        Some(AdmittedCall { request, respond, memory })
     }
 
-    fn start_call(self: Rc<Self>, call: IncomingCall, calls: &Rc<OpenCalls>) {
-        let (request, respond) = call;
+    /// Serves a call in a separate task.
+    fn start_call(self: Rc<Self>, call: AdmittedCall, calls: &Rc<OpenCalls>) {
         let open_call = OpenCallGuard::new(calls);
         let executor = self.executor.clone();
         let serve_call = async move {
-            self.call(request, respond).await;
+            self.call(call.request, call.respond, &call.memory).await;
             drop(open_call);
         };
         executor.spawn(serve_call).detach();
     }
 
+    /// Refuses a call for lack of memory.
+    fn refuse_call(&self, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+        let mut client = Caller { body: request.into_body(), state: ResponseState::NotStarted(respond) };
+        let retry_after = self.routing.load().deployment.settings.retry_after;
+        client.end(wire::trailers(&Status { retry_after, ..Status::from(MemoryExhausted) }));
+    }
+
     /// Closes a connection after a flood, with GOAWAY and ENHANCE_YOUR_CALM.
     async fn end_flooding(&self, alarm: &FloodAlarm, mut connection: GuardedConnection<'_>) {
         if let Some(suppressed) = self.log_limiters.flood.permit() {
--- a/src/net/grpc/mod.rs
+++ b/src/net/grpc/mod.rs
@@ -3,6 +3,7 @@
 //! in a separate instance, and listens on the address from the operator's file. `docs/grpc.md` documents the
 //! proxy, and `docs/design-grpc.md` gives the design rationale.
 mod attempt;
+mod call_memory;
 mod caller;
 mod exchange;
 pub mod front;
@@ -28,12 +29,38 @@
 use self::servers::Servers;
 use super::dns_sd::watcher::ZoneFileWatcher;
 use super::http_server::GracefulShutdown;
+use super::memory_budget::MemoryBudget;
 use super::StartError;
-use crate::config::operator::GrpcConfig;
+use crate::config::operator::{FrontLimits, GrpcConfig};
 use crate::coordinator::Coordinator;
 
+/// Memory of a client connection beside what its calls hold, in bytes: the buffers and tables of h2.
+const CONNECTION_BYTES: usize = 64 * 1024;
+/// Minimum number of client connections, however little memory there is.
+const MIN_CONNECTIONS: usize = 16;
+/// Part of the memory for clients that all calls together may retain for retries.
+const REPLAY_DIVISOR: usize = 2;
+/// Part of the memory for clients that one connection may send ahead of the calls that read it.
+const CONNECTION_WINDOW_DIVISOR: usize = 64;
+/// The flow control window with which every connection starts, in bytes (RFC 9113, 6.9.2).
+const INITIAL_WINDOW: u32 = 65_535;
+
+/// Reduces the limits whose defaults exceed what `memory` allows, which is in bytes.
+fn fit_to_memory(limits: &mut FrontLimits, memory: usize) {
+    limits.total_replay = limits.total_replay.min(memory / REPLAY_DIVISOR);
+    let window = u32::try_from(memory / CONNECTION_WINDOW_DIVISOR).unwrap_or(u32::MAX);
+    limits.connection_window = limits.connection_window.min(window.max(INITIAL_WINDOW));
+}
+
+/// Returns the maximum number of client connections for a process with `memory` bytes for what clients send. The
+/// connections take up as much again.
+pub fn max_client_connections(memory: usize) -> usize {
+    (memory / CONNECTION_BYTES).max(MIN_CONNECTIONS)
+}
+
 /// Starts the gRPC front with a coordinator that no other front shares. `descriptors` is the maximum number
-/// of connections to servers, because each of them uses a file descriptor.
+/// of connections to servers, because each of them uses a file descriptor. `memory` limits what clients send
+/// before their calls are submitted.
 ///
 /// # Errors
 ///
@@ -44,9 +71,11 @@
     descriptors: usize,
     executor: &Rc<LocalExecutor<'static>>,
     shutdown: &Rc<GracefulShutdown>,
+    memory: &Rc<MemoryBudget>,
     log: &Logger,
 ) -> Result<Rc<Front>, StartError> {
-    let GrpcConfig { source, routes, front: limits, pool, deployment, .. } = config;
+    let GrpcConfig { source, routes, front: mut limits, pool, deployment, .. } = config;
+    fit_to_memory(&mut limits, memory.counts().limit);
     let (servers_executor, servers_log) = (executor.clone(), log.clone());
     let servers = Servers::new(
         deployment.connections,
@@ -71,7 +100,7 @@
     let routing = ArcSwap::from_pointee(RoutingConfig { routes, deployment: (*deployment).clone() });
     let (replay_budget, rng) =
         (ReplayBudget::new(limits.total_replay), Pcg64Mcg::seed_from_u64(!seed).into());
-    let (executor, shutdown, log) = (executor.clone(), shutdown.clone(), log.clone());
+    let (executor, shutdown, memory, log) = (executor.clone(), shutdown.clone(), memory.clone(), log.clone());
     let (open_calls, log_limiters) = Default::default();
     Ok(Rc::new(Front {
         coordinator,
@@ -79,6 +108,7 @@
         routing,
         limits,
         replay_budget,
+        memory,
         shutdown,
         open_calls,
         rng,
--- a/src/net/grpc/status.rs
+++ b/src/net/grpc/status.rs
@@ -5,6 +5,7 @@
 
 use crate::balancer::interface::{Idempotency, Outcome};
 use crate::coordinator::QueryOutcome;
+use crate::net::memory_budget::MemoryExhausted;
 
 macro_rules! codes {
     ($($name:ident = $number:literal, $text:literal;)*) => {
@@ -123,6 +124,12 @@
     pub retry_after: Option<f64>,
 }
 
+impl From<MemoryExhausted> for Status {
+    fn from(e: MemoryExhausted) -> Status {
+        Status::new(Code::ResourceExhausted, e.to_string())
+    }
+}
+
 impl Status {
     /// Creates a status without a retry delay.
     pub fn new(code: Code, message: impl Into<String>) -> Status {
--- a/src/net/http/message.rs
+++ b/src/net/http/message.rs
@@ -4,7 +4,6 @@
 //! the message is consumed.
 #![warn(missing_docs)]
 
-use std::borrow::Cow;
 use std::ops::Range;
 
 use thiserror::Error;
@@ -36,9 +35,9 @@
     pub status: u16,
     /// Name and value of each header.
     pub(super) headers: Vec<(Range<usize>, Range<usize>)>,
-    /// The body: none, one range, or one range for each chunk.
-    pub(super) body: Vec<Range<usize>>,
-    /// Length of the complete message in bytes; 0 until it is complete.
+    /// The body, which is decoded if it arrived in chunks.
+    pub(super) body: Range<usize>,
+    /// Number of bytes that the complete message takes up in the buffer; 0 until it is complete.
     pub length: usize,
     /// Whether the sender keeps the connection open after this message.
     pub keep_alive: bool,
@@ -79,13 +78,8 @@
         named.map(move |(_, value)| self.text(buffer, value))
     }
 
-    /// Returns the body: a slice of the buffer, or a concatenated copy if it arrived in several chunks.
-    pub fn body<'a>(&self, buffer: &'a Buffer) -> Cow<'a, [u8]> {
-        let bytes = buffer.unread();
-        match &self.body[..] {
-            [] => Cow::Borrowed(&[]),
-            [one] => Cow::Borrowed(&bytes[one.clone()]),
-            many => Cow::Owned(many.iter().flat_map(|range| &bytes[range.clone()]).copied().collect()),
-        }
+    /// Returns the body.
+    pub fn body<'a>(&self, buffer: &'a Buffer) -> &'a [u8] {
+        &buffer.unread()[self.body.clone()]
     }
 }
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -24,7 +24,7 @@
 use thiserror::Error;
 
 pub use self::message::{DuplicateHeader, Message, MessageKind};
-pub use self::reader::{parse, read, Reader};
+pub use self::reader::{read, Reader};
 pub use self::response::{reason, ConnectionReuse, Response};
 
 /// Largest body of a message of the platform, in bytes.
@@ -51,9 +51,21 @@
     /// This side is closing the connection before the message is complete.
     #[error("server is closing the connection")]
     ServerClosing,
+    /// The memory for what clients send is exhausted. Trying again later is harmless.
+    #[error("out of memory for requests")]
+    OutOfMemory,
     /// The connection failed.
     #[error("{0}")]
-    Io(#[from] io::Error),
+    Io(io::Error),
+}
+
+impl From<io::Error> for HttpError {
+    fn from(e: io::Error) -> HttpError {
+        match e.kind() {
+            io::ErrorKind::OutOfMemory => HttpError::OutOfMemory,
+            _ => HttpError::Io(e),
+        }
+    }
 }
 
 impl HttpError {
@@ -63,7 +75,7 @@
             HttpError::Malformed(_) => Some(400),
             HttpError::TooLarge => Some(413),
             HttpError::RequestTimeout => Some(408),
-            HttpError::ServerClosing => Some(503),
+            HttpError::ServerClosing | HttpError::OutOfMemory => Some(503),
             HttpError::ConnectionClosed | HttpError::Io(_) => None,
         }
     }
--- a/src/net/http/reader.rs
+++ b/src/net/http/reader.rs
@@ -21,7 +21,8 @@
 
 /// Reads one message from `stream` into `buffer`. The message stays there until its `length` is consumed.
 ///
-/// This function is cancel safe: received bytes stay in the buffer and are parsed again by the next call.
+/// This function is not cancel safe: if the future is dropped, the buffer may contain a partially decoded
+/// message, and nothing more can be read from the stream.
 ///
 /// # Errors
 ///
@@ -35,7 +36,7 @@
 ) -> Result<Message, HttpError> {
     let mut reader = Reader::new(kind, max_body_bytes);
     loop {
-        if let Some(message) = reader.read(buffer.unread())? {
+        if let Some(message) = reader.read(buffer)? {
             return Ok(message);
         }
         if buffer.fill(stream).await? == 0 {
@@ -44,15 +45,6 @@
     }
 }
 
-/// Returns the message at the front of `bytes`, if it is complete.
-///
-/// # Errors
-///
-/// See [`Reader::read`].
-pub fn parse(bytes: &[u8], kind: MessageKind, max_body_bytes: usize) -> Result<Option<Message>, HttpError> {
-    Reader::new(kind, max_body_bytes).read(bytes)
-}
-
 /// End of the body of a message.
 #[derive(Clone, Copy)]
 enum BodyEnd {
@@ -66,7 +58,7 @@
 pub struct Reader {
     kind: MessageKind,
     max_body_bytes: usize,
-    /// Number of bytes passed to the previous call.
+    /// Number of unread bytes in the previous call.
     seen_bytes: usize,
     head: Option<(Message, BodyEnd)>,
 }
@@ -82,14 +74,15 @@
         self.head.as_ref().map(|(message, _)| message)
     }
 
-    /// Returns the message at the front of `bytes` if it is complete. `bytes` must begin with the bytes
-    /// of the previous call.
+    /// Returns the message at the front of `buffer` if it is complete. The unread bytes must begin with those
+    /// that the previous call left: a chunked body is decoded in place.
     ///
     /// # Errors
     ///
     /// Returns [`HttpError::Malformed`] or [`HttpError::TooLarge`] as soon as the bytes show the error.
-    pub fn read(&mut self, bytes: &[u8]) -> Result<Option<Message>, HttpError> {
+    pub fn read(&mut self, buffer: &mut Buffer) -> Result<Option<Message>, HttpError> {
         if self.head.is_none() {
+            let bytes = buffer.unread();
             // A head ends at a line end, so it is parsed when one arrives. It is also parsed when it exceeds
             // the limit, and when its first bytes arrive, since only these can reveal an error within a line.
             let new = bytes.get(self.seen_bytes..).unwrap_or_default();
@@ -101,8 +94,12 @@
         }
         let Some((message, body_end)) = &mut self.head else { return Ok(None) };
         let end = match body_end {
-            BodyEnd::At(end) => Some(*end).filter(|end| bytes.len() >= *end),
-            BodyEnd::Chunked(chunked) => chunked.read(bytes, &mut message.body, self.max_body_bytes)?,
+            BodyEnd::At(end) => Some(*end).filter(|end| buffer.unread().len() >= *end),
+            BodyEnd::Chunked(chunked) => {
+                let end = chunked.read(buffer, self.max_body_bytes)?;
+                message.body = chunked.data();
+                end
+            }
         };
         let Some(end) = end else { return Ok(None) };
         message.length = end;
@@ -157,7 +154,7 @@
         path: head.path,
         status: head.status,
         headers: head.headers.iter().map(header).collect(),
-        body: if body.is_empty() { Vec::new() } else { vec![body] },
+        body,
         length: 0,
         keep_alive: framing.keep_alive,
     };
--- a/src/net/http_server/acceptor.rs
+++ b/src/net/http_server/acceptor.rs
@@ -28,6 +28,7 @@
 use super::input::Input;
 use super::{ClientConnection, GracefulShutdown};
 use crate::net::descriptors::DescriptorBudget;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::socket::{self, Accepted, Stream};
 use crate::net::{io_budget, timeout_at, LogRateLimiter};
 
@@ -49,6 +50,8 @@
     /// Notifies one listener each time a connection has closed.
     pub connection_closed: Event,
     descriptors: Rc<DescriptorBudget>,
+    /// Memory for what clients send and do not read.
+    memory: Rc<MemoryBudget>,
     /// Whether at least three quarters of the slots are taken. Shared with all connections.
     crowded: Rc<Cell<bool>>,
     log: Logger,
@@ -56,12 +59,13 @@
 }
 
 impl Acceptor {
-    /// Creates an acceptor without connections. `descriptors` limits the number of open connections; their
-    /// tasks run on `executor`.
+    /// Creates an acceptor without connections. `descriptors` limits the number of open connections, and
+    /// `memory` what they hold; their tasks run on `executor`.
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         shutdown: Rc<GracefulShutdown>,
         descriptors: Rc<DescriptorBudget>,
+        memory: Rc<MemoryBudget>,
         log: Logger,
     ) -> Rc<Self> {
         Rc::new(Acceptor {
@@ -71,6 +75,7 @@
             next_number: Cell::default(),
             connection_closed: Event::new(),
             descriptors,
+            memory,
             crowded: Rc::default(),
             log,
             log_limiter: LogRateLimiter::default(),
@@ -209,7 +214,8 @@
         self.update_usage();
         let served = serve(ClientConnection {
             stream,
-            input: Input::new(waiting_since.unwrap_or(now)),
+            input: Input::new(waiting_since.unwrap_or(now), self.memory.lease()),
+            memory: self.memory.clone(),
             slot,
             shutdown: self.shutdown.clone(),
             crowded: self.crowded.clone(),
--- a/src/net/http_server/connection.rs
+++ b/src/net/http_server/connection.rs
@@ -11,7 +11,6 @@
 #![warn(missing_docs)]
 
 use std::cell::Cell;
-use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +22,7 @@
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, ConnectionReuse, HttpError, Message, MessageKind, Reader, Response};
 use crate::net::invariants;
+use crate::net::memory_budget::{MemoryBudget, ReclaimNotice};
 use crate::net::socket::Stream;
 use crate::net::timeout_at;
 use crate::send_policy::{self, CloseConditions};
@@ -45,17 +45,14 @@
 const MAX_LINGER: Duration = Duration::from_secs(1);
 /// Maximum number of bytes drained after this side has shut down writing.
 const MAX_LINGER_BYTES: usize = 256 * 1024;
-/// Maximum number of bytes that a client may send after the current request before it has the response, which
-/// is enough for one more request. A client that sends more is treated as flooding: since a disconnect is
-/// only detected by reading to the end of the stream, unread data would hide it.
-const MAX_READ_AHEAD_BYTES: usize = http::MAX_HEAD_BYTES + http::MAX_BODY_BYTES;
-
 /// A client connection, used by the single task that serves it.
 pub struct ClientConnection {
     pub(super) stream: Stream,
     pub(super) input: Input,
     pub(super) slot: Rc<ConnectionSlot>,
     pub(super) shutdown: Rc<GracefulShutdown>,
+    /// Counts the memory of responses that are being sent.
+    pub(super) memory: Rc<MemoryBudget>,
     /// Whether most slots of the acceptor are taken.
     pub(super) crowded: Rc<Cell<bool>>,
     pub(super) accepted_at: Instant,
@@ -171,50 +168,28 @@
             ConnectionActivity::AwaitingFirstRequest
         });
         let ClientConnection { stream, input, slot, shutdown, .. } = self;
+        let reclaim_notice = input.buffer.set_reclaimable(Instant::now());
         let received = read_request(stream, input);
         let closed = async {
             shutdown.read_deadline_passed().or(slot.evicted()).await;
             Err(HttpError::ServerClosing)
         };
-        let message = timeout_at(started_at + MAX_RECEIVE_TIME, received.or(closed)).await;
+        let reclaimed = async {
+            memory_reclaimed(reclaim_notice.as_ref()).await;
+            Err(HttpError::OutOfMemory)
+        };
+        let message = timeout_at(started_at + MAX_RECEIVE_TIME, received.or(reclaimed).or(closed)).await;
         let message = message.unwrap_or(Err(HttpError::RequestTimeout));
-        if message.is_ok() {
-            self.received_a_request = true;
-            self.slot.set_activity(ConnectionActivity::Serving);
-        }
-        message
-    }
-
-    /// Completes when the client disconnects or sends more than [`MAX_READ_AHEAD_BYTES`] beyond the request
-    /// that is being served, which takes up the first `length` bytes of the buffer. Received data stays in
-    /// the buffer. Cancel safe.
-    async fn disconnected(&mut self, length: usize) -> HttpError {
-        while self.input.buffer.unread().len() <= length + MAX_READ_AHEAD_BYTES {
-            match self.input.fill_ahead(&self.stream, length).await {
-                Ok(bytes) if bytes > 0 => {}
-                _ => return HttpError::ConnectionClosed,
+        self.input.buffer.retain();
+        match message {
+            Ok(_) => {
+                self.received_a_request = true;
+                self.slot.set_activity(ConnectionActivity::Serving);
             }
+            // The memory must be free before the error is sent, which may take a while.
+            Err(_) => self.input.buffer.consume(usize::MAX),
         }
-        HttpError::TooLarge
-    }
-
-    /// Runs `work` until it completes, or drops it if the client disconnects or sends too much data first.
-    /// `length` is the length in bytes of the request that is being served.
-    ///
-    /// This method is cancel safe: no received data is lost. Dropping the future drops `work`.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`HttpError::ConnectionClosed`] if the client disconnected, and [`HttpError::TooLarge`] if it
-    /// sent more than one request ahead.
-    pub async fn unless_disconnected<T>(
-        &mut self,
-        length: usize,
-        work: impl Future<Output = T>,
-    ) -> Result<T, HttpError> {
-        let finished = async { Ok(work.await) };
-        let disconnected = async { Err(self.disconnected(length).await) };
-        finished.or(disconnected).await
+        message
     }
 
     /// Sends a response and returns whether the connection stays open. `keep_alive` states whether the
@@ -256,11 +231,22 @@
         }
     }
 
-    /// Sends a response and returns whether all of it was sent within `limit`.
+    /// Sends a response and returns whether all of it was sent within `limit`, and before its memory was
+    /// reclaimed because the client does not read.
     async fn send(&mut self, response: &Response, reuse: ConnectionReuse, limit: Duration) -> bool {
         let bytes = response.to_bytes(reuse);
-        let written = timeout_at(Instant::now() + limit, (&self.stream).write_all(&bytes)).await;
-        matches!(written, Some(Ok(())))
+        let now = Instant::now();
+        let lease = self.memory.lease();
+        // The request has been served, so its response is sent even if memory is scarce.
+        lease.force(bytes.len(), now);
+        lease.set_reclaimable(now);
+        let notice = lease.notice();
+        let written = async { (&self.stream).write_all(&bytes).await.is_ok() };
+        let reclaimed = async {
+            notice.reclaimed().await;
+            false
+        };
+        timeout_at(now + limit, written.or(reclaimed)).await.unwrap_or(false)
     }
 
     /// Checks that every request of which a byte was read has been answered. Called before this side closes a
@@ -296,12 +282,20 @@
     }
 }
 
+/// Completes when the memory of a buffer has been reclaimed. Cancel safe.
+async fn memory_reclaimed(notice: Option<&ReclaimNotice>) {
+    match notice {
+        Some(notice) => notice.reclaimed().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Reads until the request at the front of the input is complete.
 async fn read_request(mut stream: &Stream, input: &mut Input) -> Result<Message, HttpError> {
     let mut reader = Reader::new(MessageKind::Request, http::MAX_BODY_BYTES);
     let mut head_pending = true;
     loop {
-        if let Some(message) = reader.read(input.buffer.unread())? {
+        if let Some(message) = reader.read(&mut input.buffer)? {
             return Ok(message);
         }
         if let Some(head) = reader.head().filter(|_| head_pending) {
--- a/src/net/http_server/input.rs
+++ b/src/net/http_server/input.rs
@@ -12,8 +12,18 @@
 use std::time::Instant;
 
 use crate::net::buffer::Buffer;
+use crate::net::memory_budget::MemoryLease;
 use crate::net::socket::Stream;
 
+/// Whether the buffer may grow for a read.
+#[derive(Clone, Copy)]
+enum Growth {
+    /// It may, and the memory of others may be reclaimed for it.
+    Needed,
+    /// It may while memory is not scarce.
+    IfSpare,
+}
+
 /// Input of a connection.
 ///
 /// The time limit of a request counts from the arrival of its last byte, which may be earlier than the time
@@ -31,9 +41,11 @@
 }
 
 impl Input {
-    /// Creates the input of a connection that may have waited to be accepted since `waiting_since`.
-    pub(super) fn new(waiting_since: Instant) -> Input {
-        Input { buffer: Buffer::default(), last_empty_at: waiting_since, arrived_at: waiting_since }
+    /// Creates the input of a connection that may have waited to be accepted since `waiting_since`. `memory`
+    /// counts what it holds.
+    pub(super) fn new(waiting_since: Instant, memory: MemoryLease) -> Input {
+        let buffer = Buffer::with_lease(memory);
+        Input { buffer, last_empty_at: waiting_since, arrived_at: waiting_since }
     }
 
     /// Returns whether the buffer contains anything but line ends. Line ends after the body of a request do
@@ -47,9 +59,10 @@
     ///
     /// # Errors
     ///
-    /// Returns the socket's error if the connection has failed.
+    /// Returns the socket's error if the connection has failed, and an error of kind
+    /// [`io::ErrorKind::OutOfMemory`] if no memory is left for the request.
     pub(super) async fn fill(&mut self, stream: &Stream) -> io::Result<usize> {
-        let (bytes, arrived_at) = self.read(stream).await?;
+        let (bytes, arrived_at) = self.read(stream, Growth::Needed).await?;
         self.arrived_at = arrived_at;
         Ok(bytes)
     }
@@ -59,10 +72,11 @@
     ///
     /// # Errors
     ///
-    /// Returns the socket's error if the connection has failed.
+    /// Returns the socket's error if the connection has failed, and an error of kind
+    /// [`io::ErrorKind::OutOfMemory`] if memory is too scarce to read ahead.
     pub(super) async fn fill_ahead(&mut self, stream: &Stream, length: usize) -> io::Result<usize> {
         let is_first = self.buffer.unread().len() <= length;
-        let (bytes, arrived_at) = self.read(stream).await?;
+        let (bytes, arrived_at) = self.read(stream, Growth::IfSpare).await?;
         if is_first {
             self.arrived_at = arrived_at;
         }
@@ -70,12 +84,17 @@
     }
 
     /// Reads once and returns the number of bytes read and their arrival time.
-    async fn read(&mut self, mut stream: &Stream) -> io::Result<(usize, Instant)> {
+    async fn read(&mut self, mut stream: &Stream, growth: Growth) -> io::Result<(usize, Instant)> {
         let Input { buffer, last_empty_at, .. } = self;
         // Otherwise a read that waits for its turn would pass for one that has found the socket empty.
         stream.read_allowed().await;
         let mut waited = false;
-        let mut filled = pin!(buffer.fill(&mut stream));
+        let mut filled = pin!(async {
+            match growth {
+                Growth::Needed => buffer.fill(&mut stream).await,
+                Growth::IfSpare => buffer.fill_if_spare(&mut stream).await,
+            }
+        });
         let bytes = poll_fn(|cx| {
             let polled = filled.as_mut().poll(cx);
             if polled.is_pending() {
--- a/src/net/http_server/mod.rs
+++ b/src/net/http_server/mod.rs
@@ -4,6 +4,7 @@
 //! - `acceptor`: accepts connections up to a limit and evicts connections when others wait;
 //! - `connection_slot`: the activity of a connection and the notice that evicts it;
 //! - `connection`: one connection with its requests, responses (HTTP/1.1) and lingering close;
+//! - `disconnect`: detection of clients that disconnect while a request is executed;
 //! - `request_handler`: serves the requests of a connection one after the other;
 //! - `input`: the received bytes of a connection and their arrival times;
 //! - `graceful_shutdown`: the stages of a shutdown.
@@ -17,6 +18,7 @@
 mod acceptor;
 mod connection;
 mod connection_slot;
+mod disconnect;
 mod graceful_shutdown;
 mod input;
 mod request_handler;
--- a/src/net/http_server/request_handler.rs
+++ b/src/net/http_server/request_handler.rs
@@ -41,7 +41,9 @@
                 return;
             }
         };
-        let (response, keep_alive) = match handler.handle(&mut client, &request).await {
+        // Boxed, so that a connection without a request takes up less memory.
+        let handled = Box::pin(handler.handle(&mut client, &request)).await;
+        let (response, keep_alive) = match handled {
             Ok(response) => (response, request.keep_alive),
             Err(HttpError::ConnectionClosed) => return,
             Err(e) => (handler.error_response(e.status().unwrap_or(400), &e), false),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,14 +14,15 @@
 pub mod http_server;
 pub mod invariants;
 pub mod io_budget;
+pub mod memory_budget;
 pub mod opensearch;
 pub mod platform_api;
 pub mod run_loop;
 pub mod socket;
 
 use std::cell::Cell;
-use std::future::Future;
 use std::fmt::{self, Display};
+use std::future::Future;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -53,7 +54,6 @@
     work.or(late).await
 }
 
-/// Limits the rate of one kind of log line.
 /// A text in log lines and error responses that may contain what a peer sent: only its start is shown, so that a
 /// line that waits for a slow reader of the log holds little memory.
 pub struct Excerpt<T>(pub T);
@@ -72,6 +72,7 @@
     }
 }
 
+/// Limits the rate of one kind of log line.
 ///
 /// During a flood with a single cause, writing a line for each event costs more processor time than the
 /// lines are worth.
--- a/src/net/opensearch/protected.rs
+++ b/src/net/opensearch/protected.rs
@@ -56,8 +56,7 @@
         let (target, body) = (message.text(buffer, &message.path), message.body(buffer));
         let remaining = prepared.deadline.saturating_duration_since(Instant::now()).as_millis();
         let deadline_unix_ms = cluster.unix_ms().saturating_add(u64::try_from(remaining).unwrap_or(u64::MAX));
-        let payload =
-            SearchText { target: &SearchText::without_timeout(target), body: &body }.encode().into();
+        let payload = SearchText { target: &SearchText::without_timeout(target), body }.encode().into();
         let parts = prepared.parts.iter().map(|s| s.0).collect();
         Some((
             cluster.clone(),
--- a/src/net/opensearch/query_api.rs
+++ b/src/net/opensearch/query_api.rs
@@ -102,7 +102,7 @@
             ("GET", ["_health"]) => Err(readiness_response(self.coordinator.is_ready(), &self.shutdown)),
             ("GET" | "POST", [_, "_search"]) => {
                 let opaque_id = message.header(buffer, "X-Opaque-Id").unwrap_or("-");
-                self.prepare(target, &message.body(buffer), opaque_id, now)
+                self.prepare(target, message.body(buffer), opaque_id, now)
             }
             (_, [_, "_search"]) => {
                 let answer = error(
--- a/src/net/opensearch/servers.rs
+++ b/src/net/opensearch/servers.rs
@@ -153,7 +153,7 @@
     fn classify(&self, call: &Call<SearchServers>, message: &Message, buffer: &Buffer) -> AttemptResult {
         let body = message.body(buffer);
         if message.status != 200 {
-            let error: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+            let error: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
             let text = |key: &str| error["error"][key].as_str().unwrap_or("unknown");
             // Status 429 means that the search was rejected before it started. With any other status, the
             // search may have run.
@@ -163,12 +163,12 @@
         let search = &call.context.search;
         let ranking = call.context.has_two_steps && call.step == Step::First;
         let is_sorted = !search.sort.is_empty() && !ranking;
-        match merge::check(&body, is_sorted.then_some(search.sort.len())) {
+        match merge::check(body, is_sorted.then_some(search.sort.len())) {
             Ok(score) => {
                 call.context.progress.borrow_mut().failures.remove(&call.shard);
                 // The value is copied because it must outlive the buffer: it is needed until the query is
                 // answered.
-                let value = Some(ScoredValue { value: Rc::from(&*body), score });
+                let value = Some(ScoredValue { value: Rc::from(body), score });
                 AttemptResult { outcome: Outcome::Succeeded, value, report: None }
             }
             Err(error) => self.failed(call, Outcome::Error, error),
--- a/src/net/platform_api/mod.rs
+++ b/src/net/platform_api/mod.rs
@@ -170,7 +170,10 @@
     }
 
     fn error_response(&self, status: u16, error: &HttpError) -> Response {
-        Response::new(status, error_body(error))
+        match error {
+            HttpError::OutOfMemory => rejected_response(status, self.deployment.settings.retry_after),
+            _ => Response::new(status, error_body(error)),
+        }
     }
 
     fn log_invalid_request(&self, error: &HttpError) {
--- a/src/net/platform_api/request.rs
+++ b/src/net/platform_api/request.rs
@@ -117,7 +117,7 @@
     let deadline = arrived_at + read_timeout(&headers)?;
     let is_retry = request.header(buffer, "Req-Retry") == Some("1");
     let body = request.body(buffer);
-    let body: Body = serde_json::from_slice(&body).map_err(RequestError::InvalidBody)?;
+    let body: Body = serde_json::from_slice(body).map_err(RequestError::InvalidBody)?;
     let parts = read_parts(&body.parts, deployment)?;
     // The statement is copied, since attempts are written long after the buffer has been reused.
     let context = RequestContext::new(id.to_owned(), body.statement.as_bytes().to_vec());
--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -10,6 +10,7 @@
 use super::ServeError;
 use crate::net::descriptors::DescriptorBudget;
 use crate::net::http_server::{Acceptor, ClientConnection, GracefulShutdown};
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::socket;
 
 /// Common parameters for starting the fronts.
@@ -22,6 +23,10 @@
     pub seed: u64,
     /// Number of descriptors that one front shares between its clients and the connections to its servers.
     pub descriptors_per_front: usize,
+    /// Memory for what the clients of all fronts send and do not read.
+    pub client_memory: Rc<MemoryBudget>,
+    /// Memory for partially received answers of data nodes and servers.
+    pub backend_memory: Rc<MemoryBudget>,
     /// Log of the process.
     pub log: Logger,
 }
@@ -51,8 +56,13 @@
     where
         F: Future<Output = ()> + 'static,
     {
-        let acceptor =
-            Acceptor::new(self.executor.clone(), self.shutdown.clone(), descriptors, self.log.clone());
+        let acceptor = Acceptor::new(
+            self.executor.clone(),
+            self.shutdown.clone(),
+            descriptors,
+            self.client_memory.clone(),
+            self.log.clone(),
+        );
         let accept_task = self.executor.spawn(acceptor.clone().accept(listener, serve));
         AcceptingFront { acceptor, accept_task }
     }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -35,6 +35,7 @@
 use crate::balancer::interface::Settings;
 use crate::config::platform::{Config, MIN_SHARED_DESCRIPTORS, RESERVED_DESCRIPTORS};
 use crate::net::cluster::ClusterNode;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::{invariants, run_loop};
 
 pub use self::error::ServeError;
@@ -76,6 +77,8 @@
         shutdown: Rc::default(),
         seed: config.seed,
         descriptors_per_front: descriptors_per_front(&config),
+        client_memory: MemoryBudget::for_clients(config.memory_bytes),
+        backend_memory: MemoryBudget::for_backends(config.memory_bytes),
         log: log.clone(),
     };
     // The time of SIGKILL depends on the settings of the platform. Without a platform nobody sends it.
--- a/src/server/platform.rs
+++ b/src/server/platform.rs
@@ -27,7 +27,13 @@
     let Startup { executor, seed, log, .. } = startup;
     let deployment = Rc::new(platform.deployment.clone());
     let descriptors = Rc::new(DescriptorBudget::new(startup.descriptors_per_front));
-    let nodes = DataNodes::new((*deployment).clone(), descriptors.clone(), executor.clone(), log.clone());
+    let nodes = DataNodes::new(
+        (*deployment).clone(),
+        descriptors.clone(),
+        startup.backend_memory.clone(),
+        executor.clone(),
+        log.clone(),
+    );
     let coordinator = new_coordinator(startup, &deployment, nodes.clone())?;
     let watch_policy = (deployment.settings.discovery, deployment.zones.clone());
     let discovery = Discovery::new(
