Handle at most 8 KiB of a client's input without a turn

Callers of the platform's front got answers late, or after their deadline, while clients sent a lot of small input at once: each connection handled 64 KiB when it was looked at for the first time, and hundreds of them one after the other. The bound was one for a connection.

A client's connection now reads 8 KiB in one poll without a turn, and counts a request as 2 KiB; more waits for the turn, as before.

--- a/src/net/grpc/front/connection.rs
+++ b/src/net/grpc/front/connection.rs
@@ -144,6 +144,7 @@
                         self.clone().start_call(call, &calls);
                     }
                     io_budget::charge(CALL_CHARGE_BYTES);
+                    io_budget::charge_client_input(CALL_CHARGE_BYTES);
                     client.stream().read_allowed().await;
                 }
                 ConnectionEvent::Flood => return self.end_flooding(&alarm, connection).await,
--- a/src/net/http_server/connection.rs
+++ b/src/net/http_server/connection.rs
@@ -22,6 +22,7 @@
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, ConnectionReuse, HttpError, Message, MessageKind, Reader, Response};
 use crate::net::invariants;
+use crate::net::io_budget;
 use crate::net::memory_budget::{MemoryBudget, ReclaimNotice};
 use crate::net::socket::Stream;
 use crate::net::timeout_at;
@@ -183,6 +184,7 @@
         self.input.buffer.retain();
         match message {
             Ok(_) => {
+                io_budget::charge_client_input(io_budget::MIN_CHARGE_BYTES);
                 self.received_a_request = true;
                 self.slot.set_activity(ConnectionActivity::Serving);
             }
--- a/src/net/io_budget.rs
+++ b/src/net/io_budget.rs
@@ -7,13 +7,15 @@
 //! next read waits:
 //!
 //! - A connection to a client waits for a *turn*. The run loop ([`super::run_loop`]) grants turns one at a
-//!   time, in the order in which they were requested.
+//!   time, in the order in which they were requested. Without a turn it may read [`BYTES_WITHOUT_TURN`] in
+//!   one poll, which is enough for a usual request.
 //! - Any other task yields to the tasks that are ready. Connections to servers and to members of the cluster
 //!   are few, and clients must not hold up their answers.
 //!
 //! Invariants: a task reads at most [`BYTES_PER_POLL`] in one poll, and handles at most
 //! [`BYTES_PER_POLL`] / [`MIN_CHARGE_BYTES`] requests and one more. One peer therefore delays a step of any
-//! other task by no more than that, and all clients that wait for turns together by no more than one of them.
+//! other task by no more than that, all clients that wait for turns together by no more than one of them, and
+//! each further client that has sent something by no more than [`BYTES_WITHOUT_TURN`].
 //!
 //! Outside of the run loop nothing is limited.
 #![warn(missing_docs)]
@@ -28,6 +30,9 @@
 pub const BYTES_PER_POLL: usize = 64 * 1024;
 /// Least charge for an operation, in bytes, since small requests cost more than their bytes.
 pub const MIN_CHARGE_BYTES: usize = 2 * 1024;
+/// Input of a client that is handled in one poll without a turn, in bytes. Hundreds of clients may have sent
+/// something at the same time, so it is much less than [`BYTES_PER_POLL`].
+pub const BYTES_WITHOUT_TURN: usize = 8 * 1024;
 
 thread_local! {
     static BUDGET: Budget = const { Budget::new() };
@@ -39,12 +44,23 @@
     enforced: Cell<bool>,
     /// What the current poll may still use, in bytes.
     remaining: Cell<usize>,
+    /// What the current poll may still read from a client without a turn, in bytes.
+    remaining_without_turn: Cell<usize>,
     turns: Event,
 }
 
 impl Budget {
     const fn new() -> Budget {
-        Budget { enforced: Cell::new(false), remaining: Cell::new(BYTES_PER_POLL), turns: Event::new() }
+        Budget {
+            enforced: Cell::new(false),
+            remaining: Cell::new(BYTES_PER_POLL),
+            remaining_without_turn: Cell::new(BYTES_WITHOUT_TURN),
+            turns: Event::new(),
+        }
+    }
+
+    fn requires_turn(&self) -> bool {
+        self.enforced.get() && self.remaining.get().min(self.remaining_without_turn.get()) == 0
     }
 
     fn is_exhausted(&self) -> bool {
@@ -73,7 +89,10 @@
 
 /// Refills the budget for the next poll of a task. Returns the bytes that the last one used.
 pub(super) fn refill() -> usize {
-    BUDGET.with(|budget| BYTES_PER_POLL - budget.remaining.replace(BYTES_PER_POLL))
+    BUDGET.with(|budget| {
+        budget.remaining_without_turn.set(BYTES_WITHOUT_TURN);
+        BYTES_PER_POLL - budget.remaining.replace(BYTES_PER_POLL)
+    })
 }
 
 /// Grants a turn to the connection that has waited for one for longest. Returns whether there was one.
@@ -82,12 +101,6 @@
     BUDGET.with(|budget| budget.turns.notify(1.additional()) > 0)
 }
 
-/// Returns how many of `bytes` the task that is being polled may read at once.
-pub(super) fn limit_read(bytes: usize) -> usize {
-    let limit = BUDGET.with(|budget| budget.enforced.get().then_some(budget.remaining.get()));
-    limit.map_or(bytes, |remaining| bytes.min(remaining.max(1)))
-}
-
 /// Charges an operation that transferred `bytes` to the task that is being polled.
 pub(super) fn charge(bytes: usize) {
     BUDGET.with(|budget| {
@@ -96,6 +109,15 @@
     });
 }
 
+/// Charges input of a client, of this many bytes, to what the task that is being polled may handle without a
+/// turn.
+pub(super) fn charge_client_input(bytes: usize) {
+    BUDGET.with(|budget| {
+        let remaining = budget.remaining_without_turn.get().saturating_sub(bytes.max(MIN_CHARGE_BYTES));
+        budget.remaining_without_turn.set(remaining);
+    });
+}
+
 /// Yields to other ready tasks if the budget is used up. Cancel safe.
 pub(super) async fn yield_if_exhausted() {
     if BUDGET.with(Budget::is_exhausted) {
@@ -113,6 +135,26 @@
 }
 
 impl Reading {
+    /// Returns how many of `bytes` the task that is being polled may read at once.
+    pub(super) fn limit(&self, bytes: usize) -> usize {
+        let limit = BUDGET.with(|budget| {
+            let limit = match self {
+                Reading::Yielding => budget.remaining.get(),
+                Reading::InTurn(_) => budget.remaining.get().min(budget.remaining_without_turn.get()),
+            };
+            budget.enforced.get().then_some(limit)
+        });
+        limit.map_or(bytes, |limit| bytes.min(limit.max(1)))
+    }
+
+    /// Charges a read of `bytes` to the task that is being polled.
+    pub(super) fn charge_read(&self, bytes: usize) {
+        charge(bytes);
+        if matches!(self, Reading::InTurn(_)) {
+            charge_client_input(bytes);
+        }
+    }
+
     /// Completes when the task may read. If it does, and the task then reads within the same poll and
     /// without another operation in between, that read does not wait for the budget.
     pub(super) fn poll_allowed(&self, cx: &mut Context<'_>) -> Poll<()> {
@@ -131,7 +173,7 @@
 
 fn poll_turn(position: &mut Option<EventListener>, cx: &mut Context<'_>) -> Poll<()> {
     if position.is_none() {
-        if !BUDGET.with(Budget::is_exhausted) {
+        if !BUDGET.with(Budget::requires_turn) {
             return Poll::Ready(());
         }
         *position = Some(BUDGET.with(|budget| budget.turns.listen()));
@@ -140,5 +182,6 @@
         ready!(std::future::Future::poll(Pin::new(turn), cx));
     }
     *position = None;
+    BUDGET.with(|budget| budget.remaining_without_turn.set(BYTES_PER_POLL));
     Poll::Ready(())
 }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -276,9 +276,13 @@
 impl AsyncRead for &Stream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
         ready!(self.reading.poll_allowed(cx));
-        let limit = io_budget::limit_read(bytes.len());
+        let limit = self.reading.limit(bytes.len());
         let bytes = &mut bytes[..limit];
-        charged(uninterrupted(cx, |cx| Pin::new(&mut &self.socket).poll_read(cx, bytes)))
+        let read = uninterrupted(cx, |cx| Pin::new(&mut &self.socket).poll_read(cx, bytes));
+        if let Poll::Ready(result) = &read {
+            self.reading.charge_read(*result.as_ref().unwrap_or(&0));
+        }
+        read
     }
 }
 
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -122,3 +122,19 @@
     assert_eq!(arrivals.len(), sent);
     assert!((1..=PER_TURN).contains(&longest_wait.get()), "{longest_wait:?} requests while a task was ready");
 }
+
+/// Guards against queries that are late because hundreds of clients have sent a lot when each of them is looked
+/// at for the first time: together they delay a ready task by their bytes without a turn, and by one turn.
+#[test]
+fn the_first_input_of_many_clients_delays_others_by_their_bytes_without_a_turn() {
+    const CLIENTS: usize = 64;
+    let longest_wait = Rc::<Cell<usize>>::default();
+    let (longest, mut last) = (longest_wait.clone(), 0);
+    let (arrivals, sent) = serve_sent_requests(CLIENTS, ONE_READ, move |served, _| {
+        longest.set(longest.get().max(served - last));
+        last = served;
+    });
+    assert_eq!(arrivals.len(), sent);
+    let without_turn = CLIENTS * io_budget::BYTES_WITHOUT_TURN + io_budget::BYTES_PER_POLL;
+    assert!(longest_wait.get() * ONE_READ <= without_turn, "{longest_wait:?} requests");
+}
