Execute nothing for a client that has closed its connection

A client closed its connection with much still unread, and its requests were forwarded afterwards; an id ran again when it came back after its client had left.

Cause: a close is seen by reading up to it, and a request was submitted before what followed it was read: the close was behind more data than the socket's buffer holds, or behind a read that waited for its turn. And an id was free as soon as its client had gone, while its attempts still ran.

Before a query or search is submitted, what its client has sent after it is read until nothing more has arrived; more than one request ahead is refused as before. The gRPC front starts calls once its input is read.

--- a/src/net/grpc/front/connection.rs
+++ b/src/net/grpc/front/connection.rs
@@ -8,6 +8,7 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -58,6 +59,8 @@
 enum ConnectionEvent {
     /// A call arrived.
     Call(Box<IncomingCall>),
+    /// All that the client has sent so far has been read, and calls wait to be started.
+    InputDrained,
     /// The client closed the connection, or it failed.
     Closed,
     /// The flood guard detected a flood of frames.
@@ -136,16 +139,20 @@
         let Some(mut connection) = self.handshake(&client, &alarm).await else { return };
         let calls = Rc::new(OpenCalls::default());
         let mut state = ConnectionState::Open;
+        // Calls that are not started yet, since the close of the connection may be behind unread data.
+        let mut arrived = Vec::new();
         loop {
-            client.set_busy(!calls.is_empty());
-            match self.next_event(&client, &alarm, &calls, &mut connection, state).await {
+            client.set_busy(!calls.is_empty() || !arrived.is_empty());
+            let waits = !arrived.is_empty();
+            match self.next_event(&client, &alarm, &calls, &mut connection, (state, waits)).await {
                 ConnectionEvent::Call(call) => {
-                    if let Some(call) = self.admit_call(*call, state) {
-                        self.clone().start_call(call, &calls);
+                    // Its headers take up memory already, so this does not wait for a turn.
+                    arrived.extend(self.admit_call(*call, state));
+                }
+                ConnectionEvent::InputDrained => {
+                    if !self.start_calls(&client, &mut arrived, &calls).await {
+                        return;
                     }
-                    io_budget::charge(CALL_CHARGE_BYTES);
-                    io_budget::charge_client_input(CALL_CHARGE_BYTES);
-                    client.stream().read_allowed().await;
                 }
                 ConnectionEvent::Flood => return self.end_flooding(&alarm, connection).await,
                 ConnectionEvent::Drain => {
@@ -195,15 +202,17 @@
         alarm: &FloodAlarm,
         calls: &OpenCalls,
         connection: &mut GuardedConnection<'_>,
-        state: ConnectionState,
+        (state, calls_wait): (ConnectionState, bool),
     ) -> ConnectionEvent {
         let changed = calls.changed.listen();
-        let accept = async {
-            match poll_fn(|cx| connection.poll_accept(cx)).await {
-                Some(Ok(call)) => ConnectionEvent::Call(Box::new(call)),
-                _ => ConnectionEvent::Closed,
+        let accept = poll_fn(|cx| match connection.poll_accept(cx) {
+            Poll::Ready(Some(Ok(call))) => Poll::Ready(ConnectionEvent::Call(Box::new(call))),
+            Poll::Ready(_) => Poll::Ready(ConnectionEvent::Closed),
+            Poll::Pending if calls_wait && alarm.input_drained.get() => {
+                Poll::Ready(ConnectionEvent::InputDrained)
             }
-        };
+            Poll::Pending => Poll::Pending,
+        });
         let flood = async {
             alarm.wait_for_flood().await;
             ConnectionEvent::Flood
@@ -258,6 +267,25 @@
         Some(AdmittedCall { request, respond, memory })
     }
 
+    /// Starts calls in the turns of the connection. Returns `false` if the client disconnects meanwhile.
+    async fn start_calls(
+        self: &Rc<Self>,
+        client: &ClientConnection,
+        arrived: &mut Vec<AdmittedCall>,
+        calls: &Rc<OpenCalls>,
+    ) -> bool {
+        for call in arrived.drain(..) {
+            if client.is_disconnected() {
+                return false;
+            }
+            self.clone().start_call(call, calls);
+            io_budget::charge(CALL_CHARGE_BYTES);
+            io_budget::charge_client_input(CALL_CHARGE_BYTES);
+            client.stream().read_allowed().await;
+        }
+        true
+    }
+
     /// Serves a call in a separate task.
     fn start_call(self: Rc<Self>, call: AdmittedCall, calls: &Rc<OpenCalls>) {
         let open_call = OpenCallGuard::new(calls);
--- a/src/net/grpc/io.rs
+++ b/src/net/grpc/io.rs
@@ -13,10 +13,13 @@
 use super::guard::{Flood, FloodGuard};
 use crate::net::socket::Stream;
 
-/// Records the first flood that was detected on a connection, and notifies the tasks that wait for one.
+/// What is known of a connection's input: the first flood that was detected, of which the tasks that wait for
+/// one are notified, and whether all of it has been read.
 #[derive(Default)]
 pub struct FloodAlarm {
     pub flood: Cell<Option<Flood>>,
+    /// Whether the last read found nothing more to read, so that a close of the connection would be known.
+    pub input_drained: Cell<bool>,
     pub changed: Wake,
 }
 
@@ -47,7 +50,11 @@
             return Poll::Pending;
         }
         let mut stream = self.stream;
-        let n = std::task::ready!(Pin::new(&mut stream).poll_read(cx, buf))?;
+        // A read that waits for its turn does not show whether there is more to read.
+        std::task::ready!(stream.poll_read_allowed(cx));
+        let polled = Pin::new(&mut stream).poll_read(cx, buf);
+        self.alarm.input_drained.set(polled.is_pending());
+        let n = std::task::ready!(polled)?;
         if let Err(flood) = self.guard.inspect(Instant::now(), &buf[..n]) {
             self.alarm.flood.set(Some(flood));
             self.alarm.changed.notify(usize::MAX);
--- a/src/net/opensearch/query_api.rs
+++ b/src/net/opensearch/query_api.rs
@@ -55,6 +55,7 @@
         request: &Message,
         prepared: PreparedSearch,
     ) -> Result<Response, HttpError> {
+        client.ensure_connected(request.length).await?;
         if let Some((cluster, submission)) = self.protected_submission(request, client.buffer(), &prepared) {
             // If the client disconnects, the cluster continues the search and keeps its outcome for the next
             // client that requests it.
--- a/src/net/platform_api/mod.rs
+++ b/src/net/platform_api/mod.rs
@@ -4,11 +4,11 @@
 //! decisions about a query: it converts a request to a query, and the outcome of the query to a response.
 //!
 //! Invariants: each admitted query gets one response, unless its client disconnects, which cancels the
-//! query. An id is used by one query at a time.
+//! query. An id is used by one query only.
 #![warn(missing_docs)]
 
-mod open_ids;
 mod request;
+mod used_ids;
 
 use std::fmt::Display;
 use std::rc::Rc;
@@ -17,14 +17,15 @@
 use futures_lite::FutureExt;
 use slog::{info, warn, Logger};
 
-use self::open_ids::OpenIds;
+use self::used_ids::UsedIdGuard;
+pub use self::used_ids::UsedIds;
 use super::data_nodes::{DataNodes, RequestContext};
 use super::http::{HttpError, Message, Response};
 use super::http_server::{
     readiness_response, serve_requests, ClientConnection, GracefulShutdown, RequestHandler,
 };
 use super::{Excerpt, LogRateLimiter};
-use crate::balancer::interface::ShardId;
+use crate::balancer::interface::{ClassId, Idempotency, ShardId};
 use crate::config::settings::Deployment;
 use crate::coordinator::{Coordinator, Query, QueryOutcome};
 
@@ -36,8 +37,8 @@
     pub deployment: Rc<Deployment>,
     /// Bounds the deadlines of queries once the process shuts down.
     pub shutdown: Rc<GracefulShutdown>,
-    /// Ids of open queries.
-    pub open_ids: OpenIds,
+    /// Ids of open queries, and of earlier ones that may have run.
+    pub used_ids: UsedIds,
     /// Log for invalid, rejected and failed queries.
     pub log: Logger,
     /// Rate limiters of the log lines.
@@ -70,9 +71,8 @@
     async fn query(&self, client: &mut ClientConnection, request: &Message) -> Result<Response, HttpError> {
         let arrived_at = client.request_arrived_at();
         let query =
-            request::read_query(&self.deployment, &self.open_ids, request, client.buffer(), arrived_at);
-        // The guard keeps the id in use until the outcome is known.
-        let (query, _open_id) = match query {
+            request::read_query(&self.deployment, &self.used_ids, request, client.buffer(), arrived_at);
+        let (query, id) = match query {
             Ok(query) => query,
             Err(e) => {
                 if let Some(suppressed) = self.log_limiters.invalid.permit() {
@@ -81,10 +81,10 @@
                 return Ok(Response::new(e.status(), error_body(&e)));
             }
         };
-        self.execute(query, client, request).await
+        self.execute(query, id, client, request).await
     }
 
-    /// Executes a query and returns the response.
+    /// Executes a query and returns the response. `id` keeps its id in use until the outcome is known.
     ///
     /// # Errors
     ///
@@ -92,6 +92,7 @@
     async fn execute(
         &self,
         query: Query<RequestContext>,
+        mut id: UsedIdGuard,
         client: &mut ClientConnection,
         request: &Message,
     ) -> Result<Response, HttpError> {
@@ -100,11 +101,19 @@
             class: request.header(client.buffer(), "Req-Kind").unwrap_or_default().to_owned(),
             arrived_at: client.request_arrived_at(),
         };
+        if let Err(e) = client.ensure_connected(request.length).await {
+            let not_executed = Err(e);
+            self.log_outcome(&not_executed, &labels);
+            return not_executed.map(|outcome| response(&outcome));
+        }
+        let may_repeat = self.may_repeat(query.class);
         let deadline = self.shutdown.limit_deadline(query.deadline);
         let Some(handle) = self.coordinator.submit(Query { deadline, ..query }) else {
             self.log_rejected(&labels);
             return Ok(rejected_response(429, self.deployment.settings.retry_after));
         };
+        // Its attempts may run on if the client disconnects.
+        id.set_remembered(true);
         self.log_if_full();
         let finished = client.unless_disconnected(request.length, handle.outcome());
         let shut_down = async {
@@ -114,7 +123,20 @@
         // Dropping the handle on return cancels an unfinished query.
         let outcome = finished.or(shut_down).await;
         self.log_outcome(&outcome, &labels);
-        Ok(response(&outcome?))
+        let outcome = outcome?;
+        id.set_remembered(match outcome {
+            // It has not run.
+            QueryOutcome::Rejected { .. } => false,
+            QueryOutcome::Answered { .. } => !may_repeat,
+            QueryOutcome::Failed | QueryOutcome::DeadlineExceeded => true,
+        });
+        Ok(response(&outcome))
+    }
+
+    /// Returns whether a query of this class may run again after it was answered.
+    fn may_repeat(&self, class: ClassId) -> bool {
+        let class = self.deployment.settings.classes.get(usize::from(class.0));
+        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
     }
 
     fn log_rejected(&self, labels: &QueryLabels) {
--- a/src/net/platform_api/request.rs
+++ b/src/net/platform_api/request.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use super::open_ids::{OpenIdGuard, OpenIds};
+use super::used_ids::{IdConflict, UsedIdGuard, UsedIds};
 use crate::balancer::interface::{ClassId, ShardId, TenantId};
 use crate::config::settings::Deployment;
 use crate::coordinator::Query;
@@ -48,18 +48,30 @@
     /// The id belongs to a query that is still open.
     #[error("Req-Id is that of a query that is still open")]
     IdInUse,
+    /// The id belongs to an earlier query that may have run.
+    #[error("Req-Id is that of an earlier query")]
+    IdReused,
 }
 
 impl RequestError {
     /// Returns the status of the response.
     pub(super) fn status(&self) -> u16 {
         match self {
-            RequestError::IdInUse => 409,
+            RequestError::IdInUse | RequestError::IdReused => 409,
             _ => 400,
         }
     }
 }
 
+impl From<IdConflict> for RequestError {
+    fn from(conflict: IdConflict) -> RequestError {
+        match conflict {
+            IdConflict::Open => RequestError::IdInUse,
+            IdConflict::Finished => RequestError::IdReused,
+        }
+    }
+}
+
 /// Body of a query request.
 #[derive(Deserialize)]
 struct Body<'a> {
@@ -102,16 +114,14 @@
 /// Returns a [`RequestError`] if the request is invalid; no id is reserved then.
 pub(super) fn read_query(
     deployment: &Deployment,
-    open_ids: &OpenIds,
+    used_ids: &UsedIds,
     request: &Message,
     buffer: &Buffer,
     arrived_at: Instant,
-) -> Result<(Query<RequestContext>, OpenIdGuard), RequestError> {
+) -> Result<(Query<RequestContext>, UsedIdGuard), RequestError> {
     let headers = Headers { request, buffer };
     let id = read_id(&headers)?;
-    if open_ids.contains(id) {
-        return Err(RequestError::IdInUse);
-    }
+    let reserved = used_ids.reserve(id, Instant::now())?;
     let class = read_class(&headers, deployment)?;
     let tenant = read_tenant(&headers, deployment)?;
     let deadline = arrived_at + read_timeout(&headers)?;
@@ -122,7 +132,7 @@
     // The statement is copied, since attempts are written long after the buffer has been reused.
     let context = RequestContext::new(id.to_owned(), body.statement.as_bytes().to_vec());
     let query = Query { class, tenant, deadline, is_retry, parts, context, protection: None };
-    Ok((query, open_ids.reserve(id)))
+    Ok((query, reserved))
 }
 
 fn read_id<'a>(headers: &Headers<'a>) -> Result<&'a str, RequestError> {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -18,6 +18,7 @@
 
 use async_io::{Async, Timer};
 use futures_io::{AsyncRead, AsyncWrite};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
 
 use super::io_budget::{self, Reading};
@@ -231,7 +232,12 @@
     /// Completes when the budget allows a read. If the task reads next, that read does not wait for the
     /// budget: it is pending only if nothing has arrived. Cancel safe.
     pub async fn read_allowed(&self) {
-        poll_fn(|cx| self.reading.poll_allowed(cx)).await;
+        poll_fn(|cx| self.poll_read_allowed(cx)).await;
+    }
+
+    /// Polls for what [`Stream::read_allowed`] waits for.
+    pub fn poll_read_allowed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        self.reading.poll_allowed(cx)
     }
 
     /// Disables Nagle's algorithm (TCP_NODELAY) and returns whether that succeeded. A failure is not
@@ -245,6 +251,25 @@
         let _ = self.socket.get_ref().shutdown(Shutdown::Write);
     }
 
+    /// Returns whether the peer has closed its side or the connection has failed, even if bytes that it sent
+    /// before are still unread. Returns `false` if the operating system cannot tell.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let mut polled = [PollFd::new(&self.socket, PollFlags::RDHUP)];
+        let ready =
+            rustix::io::retry_on_intr(|| rustix::event::poll(&mut polled, Some(&Timespec::default())));
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        ready.is_ok() && polled[0].revents().intersects(closed)
+    }
+
+    /// Returns whether bytes or the end of the stream can be read without waiting.
+    pub fn has_unread_input(&self) -> bool {
+        let peeked = rustix::io::retry_on_intr(|| {
+            let peeked = self.socket.get_ref().peek(&mut [0]);
+            peeked.map_err(|e| Errno::from_io_error(&e).unwrap_or(Errno::IO))
+        });
+        peeked != Err(Errno::AGAIN)
+    }
+
     /// Returns whether the connection is open and has nothing to read. If bytes are available, the first one
     /// is read and discarded, so the connection must not be used any more.
     pub fn is_idle(&self) -> bool {
--- a/src/server/platform.rs
+++ b/src/server/platform.rs
@@ -80,7 +80,7 @@
         coordinator,
         deployment,
         shutdown: startup.shutdown.clone(),
-        open_ids: Default::default(),
+        used_ids: Default::default(),
         log: startup.log.clone(),
         log_limiters: Default::default(),
     })
--- a/tests/grpc/connections.rs
+++ b/tests/grpc/connections.rs
@@ -8,10 +8,14 @@
 use marlgap::net::grpc::status::Code;
 
 use crate::common::*;
-use crate::raw::{frame, literal, read_goaway, send_raw};
+use crate::raw::{frame, literal, read_goaway, read_raw, send_raw, DATA, END_HEADERS, END_STREAM, HEADERS};
 use crate::rig::{new_rig, ONCE, SAFE};
 use crate::standin::Client;
 
+/// Type of a PING frame, and its flag in an answer (RFC 9113, section 6.7).
+const PING: u8 = 6;
+const ACK: u8 = 1;
+
 /// Starts a server that is implemented on raw frames, for behaviour that h2 does not produce. It answers
 /// PINGs until a call arrives. It then sends a GOAWAY that names no processed stream if `sends_goaway` is
 /// set, and otherwise sends nothing any more. Returns its address and the number of calls that it received.
@@ -133,3 +137,45 @@
     }
     assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
 }
+
+/// Guards against calls that are started long after their client has closed the connection, because the close is
+/// behind more data than was read.
+#[test]
+fn calls_before_an_unread_close_are_not_started() {
+    const CALLS: usize = 200;
+    let rig = new_rig("grpc_unread_close", 1, |_| ());
+    let mut client = send_raw(rig.front, &frame(PING, 0, 0, &[0; 8]));
+    while read_raw(&mut client).is_none_or(|frame| (frame.kind, frame.flags) != (PING, ACK)) {}
+    let message = frame(DATA, END_STREAM, 0, b"\0\0\0\0\0");
+    let calls: Vec<u8> = (0..CALLS)
+        .flat_map(|n| {
+            let padding = (0..16).flat_map(|n| literal(&format!("padding-{n}"), &"x".repeat(120)));
+            let fields = [
+                literal(":method", "POST"),
+                literal(":scheme", "http"),
+                literal(":path", SAFE),
+                literal(":authority", "f"),
+                literal("content-type", "application/grpc"),
+                literal("tile", "0"),
+                literal("call-id", "left"),
+            ];
+            let head: Vec<u8> = fields.concat().into_iter().chain(padding).collect();
+            let stream = 2 * n as u32 + 1;
+            let mut message = message.clone();
+            message[5..9].copy_from_slice(&stream.to_be_bytes());
+            [frame(HEADERS, END_HEADERS, stream, &head), message].concat()
+        })
+        .collect();
+    assert!(rig.program.suspend());
+    client.set_nonblocking(true).expect("set");
+    let written = client.write(&calls).expect("written");
+    assert!(written > 128 * 1024, "only {written} bytes fit");
+    drop(client);
+    rig.program.signal("-CONT");
+    // The calls of another client show that the time for the attempts of the first has passed.
+    for id in ["next", "last"] {
+        let got = rig.call(SAFE, id, "ok:1:0");
+        rig.check_call(id, &got, Code::Ok, 1, 1..=1);
+    }
+    assert_eq!(rig.record.attempts_of("left").len(), 0);
+}
