Log the memory of the process and of its budgets every 10 s

The incident's logs showed that requests were refused, but not how much memory the process had, nor who held it. The new line `memory` has what the kernel counts (resident_kb, peak_kb), and for the budgets of clients and of backends the limit, what is in use, the peak, and how many leases were reclaimed and refused.

--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::coordinator::{Coordinator, Transport};
 use crate::net::cluster::ClusterNode;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::{invariants, run_loop};
 
 /// Interval between two lines of one kind.
@@ -48,3 +49,43 @@
         info!(log, "cluster counts"; "totals" => ?node.counters(), "dropped" => node.dropped_frames());
     }
 }
+
+/// Budgets whose counts are logged.
+pub(super) struct MemoryBudgets {
+    /// What clients send and do not read.
+    pub clients: Rc<MemoryBudget>,
+    /// Partially received answers.
+    pub backends: Rc<MemoryBudget>,
+}
+
+/// Logs the memory of the process and of its budgets, for as long as the process runs.
+pub(super) async fn log_memory(budgets: MemoryBudgets, log: Logger) {
+    loop {
+        Timer::at(Instant::now() + LOG_INTERVAL).await;
+        let process = ProcessMemory::read();
+        info!(log, "memory";
+            "resident_kb" => process.map(|memory| memory.resident_kb),
+            "peak_kb" => process.map(|memory| memory.peak_kb),
+            "clients" => ?budgets.clients.counts(),
+            "backends" => ?budgets.backends.counts());
+    }
+}
+
+/// Memory of the process as the kernel counts it, in KiB.
+#[derive(Clone, Copy)]
+struct ProcessMemory {
+    resident_kb: u64,
+    peak_kb: u64,
+}
+
+impl ProcessMemory {
+    /// Returns `None` if the kernel does not tell.
+    fn read() -> Option<ProcessMemory> {
+        let status = std::fs::read_to_string("/proc/self/status").ok()?;
+        let value = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+            line.split_whitespace().next()?.parse().ok()
+        };
+        Some(ProcessMemory { resident_kb: value("VmRSS:")?, peak_kb: value("VmHWM:")? })
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -86,6 +86,11 @@
     let query_api = config.operator.as_ref().and_then(|operator| operator.query_api.as_ref());
     let search_deadline = query_api.map(|q| longest_deadline(&q.deployment.settings));
     startup.executor.spawn(metrics::log_run_loop(log.clone())).detach();
+    let budgets = metrics::MemoryBudgets {
+        clients: startup.client_memory.clone(),
+        backends: startup.backend_memory.clone(),
+    };
+    startup.executor.spawn(metrics::log_memory(budgets, log.clone())).detach();
     // Only the newest address matters.
     let (discovery_address_sender, discovery_address_changes) = async_channel::bounded(1);
     let running = start(&startup, config, discovery_address_changes).await?;
