--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -81,7 +81,9 @@
             index += 1;
             stream = match draw {
                 0..DISCONNECT => self.disconnect(open, index),
-                DISCONNECT..SLOW_WRITE => self.send_and_wait(open, index, 2000, true),
+                DISCONNECT..SLOW_WRITE => {
+                    self.send_and_wait(open, index, self.coordinator.query_deadline_ms(), true)
+                }
                 SLOW_WRITE..SEND_TWO => self.send_two(open, index),
                 SEND_TWO..SHORT_DEADLINE => self.send_and_wait(open, index, 20 + u64::from(draw), false),
                 SHORT_DEADLINE..=STALL => {
@@ -89,7 +91,7 @@
                     None
                 }
                 RECONNECT..PIPELINE => self.stream(open, index),
-                _ => self.send_and_wait(open, index, 2000, false),
+                _ => self.send_and_wait(open, index, self.coordinator.query_deadline_ms(), false),
             };
             std::thread::sleep(Duration::from_millis(u64::from(self.random.next_u32() % 20)));
         }
@@ -194,7 +196,7 @@
 
     /// Sends a query and closes the connection before the answer is read.
     fn disconnect(&mut self, mut stream: TcpStream, index: u32) -> Option<TcpStream> {
-        let request = self.request(index, 2000);
+        let request = self.request(index, self.coordinator.query_deadline_ms());
         self.record_sent(&request);
         let _ = stream.write_all(&request.bytes);
         std::thread::sleep(Duration::from_millis(u64::from(self.random.next_u32() % 8)));
@@ -206,8 +208,8 @@
     /// Sends two requests at once. The close of the connection may cross both, in which case they are
     /// retried one after the other.
     fn send_two(&mut self, mut stream: TcpStream, index: u32) -> Option<TcpStream> {
-        let first = self.request(index, 2000);
-        let second = self.request(index, 2000);
+        let first = self.request(index, self.coordinator.query_deadline_ms());
+        let second = self.request(index, self.coordinator.query_deadline_ms());
         let second = second.with_id(format!("{}b", second.id));
         let both = [&first.bytes[..], &second.bytes].concat();
         let _ = stream.write_all(&both);
@@ -248,7 +250,7 @@
                 break;
             }
             written += 1;
-            let request = self.request(index, 2000);
+            let request = self.request(index, self.coordinator.query_deadline_ms());
             let request = request.with_id(format!("{}s{written}", request.id));
             let bytes = request.bytes.clone();
             self.record_sent(&request);
--- a/tests/soak/coordinator.rs
+++ b/tests/soak/coordinator.rs
@@ -9,7 +9,9 @@
 
 use fault_control::{Plan, PLAN_VARIABLE};
 
-use crate::common::{fault_library, is_suspended, read_http, replace_in_configuration, write_configuration};
+use crate::common::{
+    fault_library, is_suspended, program_path, read_http, replace_in_configuration, write_configuration,
+};
 use crate::record::{Event, EventLog};
 use crate::schedule::PAUSE_DURATION;
 use crate::slow_start;
@@ -25,9 +27,22 @@
 
 /// The time after SIGTERM during which clients still open new connections.
 const ACCEPTING_AFTER_TERM: Duration = Duration::from_millis(400);
-/// The time from SIGTERM to SIGKILL: the longest deadline, which counts as 3 s, plus 0.7 s.
-pub const KILL_DELAY: Duration = Duration::from_millis(3700);
-/// The number of file descriptors of a coordinator to which a crowd connects.
+/// The time from SIGTERM to SIGKILL beside the longest deadline, and the most that this counts as.
+const KILL_DELAY_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// The longest deadline of the classes, usually and in runs with short deadlines.
+const USUAL_DEADLINE: Duration = Duration::from_secs(8);
+const SHORT_DEADLINE: Duration = Duration::from_millis(600);
+/// One run out of this number has short deadlines, so that SIGKILL comes soon after SIGTERM.
+const RUNS_PER_SHORT_DEADLINE: u64 = 4;
+/// The deadline of most queries, unless the classes have a shorter one.
+const QUERY_DEADLINE: Duration = Duration::from_secs(2);
+/// The memory of a coordinator, in megabytes: the least that the platform grants.
+const MEMORY_MB: u64 = 32;
+/// The same in KiB.
+pub const MEMORY_KB: u64 = MEMORY_MB * 1_000_000 / 1024;
+/// The number of file descriptors of a coordinator to which a crowd connects, in the runs whose crowd is larger
+/// than that. In the others, it has the most that the platform grants.
 const DESCRIPTORS_IN_CROWD: usize = 128;
 
 /// The signals with which a process is terminated.
@@ -57,6 +72,8 @@
 pub struct Coordinator {
     number: usize,
     pub address: SocketAddr,
+    /// The longest deadline of its classes.
+    longest_deadline: Duration,
     pub plan: Plan,
     /// Whether clients may open new connections: the process is ready and was not told to terminate.
     pub accepts_connections: AtomicBool,
@@ -105,12 +122,24 @@
         if is_push {
             replace_in_configuration(&folder, r#""Discovery":"ask""#, r#""Discovery":"push""#);
         }
-        if meets_crowd {
-            replace_in_configuration(
-                &folder,
-                r#""sockets":1024"#,
-                &format!(r#""sockets":{DESCRIPTORS_IN_CROWD}"#),
-            );
+        let descriptors = if meets_crowd && seed % 2 == 1 { DESCRIPTORS_IN_CROWD } else { 1024 };
+        replace_in_configuration(
+            &folder,
+            r#""sockets":1024"#,
+            &format!(r#""sockets":{descriptors},"memory_mb":{MEMORY_MB}"#),
+        );
+        let has_short_deadlines = seed % RUNS_PER_SHORT_DEADLINE == 1;
+        let longest_deadline = if has_short_deadlines { SHORT_DEADLINE } else { USUAL_DEADLINE };
+        if has_short_deadlines {
+            let seconds = SHORT_DEADLINE.as_secs_f64();
+            for deadline in ["8.0", "6.0", "4.0"] {
+                let (usual, short) =
+                    (format!("\"DeadlineS\":{deadline}"), format!("\"DeadlineS\":{seconds}"));
+                replace_in_configuration(&folder, &usual, &short);
+            }
+            for objective in ["4.0", "2.0"] {
+                replace_in_configuration(&folder, &format!("\"AimS\":{objective}"), "\"AimS\":0.4");
+            }
         }
         let plan = Plan::create(&folder.join("faults"), seed ^ number as u64).expect("a plan");
         plan.spare_accepted_connections().expect("written");
@@ -122,6 +151,7 @@
         let coordinator = Coordinator {
             number,
             address,
+            longest_deadline,
             plan,
             accepts_connections,
             terminating,
@@ -137,6 +167,26 @@
         coordinator
     }
 
+    /// Returns the deadline of most queries, in milliseconds.
+    pub fn query_deadline_ms(&self) -> u64 {
+        QUERY_DEADLINE.min(self.longest_deadline).as_millis() as u64
+    }
+
+    /// Returns the earliest time from SIGTERM to SIGKILL.
+    fn kill_delay(&self) -> Duration {
+        self.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_DELAY_AFTER_DEADLINE
+    }
+
+    /// Records the largest memory of the process so far, if it is running.
+    fn record_peak_memory(&self) {
+        let id = self.child.lock().expect("not poisoned").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        if let Some(kb) = peak.and_then(|peak| peak.split_whitespace().next()?.parse().ok()) {
+            self.event_log.record(Event::PeakMemory { coordinator: self.number, kb });
+        }
+    }
+
     fn wait_until_ready(&self) {
         let begun = Instant::now();
         let ready = || {
@@ -190,6 +240,7 @@
             self.reload();
             std::thread::sleep(Duration::from_millis(ms));
         }
+        self.record_peak_memory();
         let signalled_at = Instant::now();
         self.signal("-TERM");
         self.event_log.record(Event::Terminated { coordinator: self.number });
@@ -203,7 +254,8 @@
         }
         std::thread::sleep(ACCEPTING_AFTER_TERM.saturating_sub(signalled_at.elapsed()));
         self.accepts_connections.store(false, Ordering::SeqCst);
-        let status = self.wait_until_ended(signalled_at + KILL_DELAY);
+        self.record_peak_memory();
+        let status = self.wait_until_ended(signalled_at + self.kill_delay());
         let after_ms = signalled_at.elapsed().as_millis() as u64;
         let clean = status.is_some_and(|status| status.success());
         self.event_log.record(Event::Ended { coordinator: self.number, after_ms, clean });
@@ -233,7 +285,7 @@
             std::thread::sleep(Duration::from_millis(ms));
             let signalled_at = Instant::now();
             self.signal("-TERM");
-            let ended = self.wait_until_ended(signalled_at + KILL_DELAY).is_some();
+            let ended = self.wait_until_ended(signalled_at + self.kill_delay()).is_some();
             let after_ms = signalled_at.elapsed().as_millis() as u64;
             self.event_log.record(Event::EndedDuringStart { coordinator: self.number, after_ms, ended });
         }
@@ -270,7 +322,7 @@
     (event_log, reloaded): (&EventLog, &Arc<AtomicU64>),
     coordinator: usize,
 ) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_marlgap"));
+    let mut command = Command::new(program_path());
     command.env("RELAY_CONFIG", folder.join("config.json")).stderr(Stdio::piped());
     command.env("LD_PRELOAD", fault_library()).env(PLAN_VARIABLE, plan.path());
     let mut child = command.spawn().expect("it starts");
--- a/tests/soak/oracle.rs
+++ b/tests/soak/oracle.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use crate::coordinator::MEMORY_KB;
 use crate::record::{coordinator_of, query_of, Effect, Event, TimedEvent};
 use crate::slow_start;
 
@@ -56,6 +57,9 @@
     for (_, event) in events {
         match event {
             Event::Crashed { coordinator } => errors.push(format!("crash: coordinator {coordinator}")),
+            Event::PeakMemory { coordinator, kb } if *kb >= MEMORY_KB => {
+                errors.push(format!("memory: coordinator {coordinator} with {kb} KiB of {MEMORY_KB} KiB"));
+            }
             Event::Ended { coordinator, after_ms, clean }
                 if !clean || *after_ms > MAX_END_MS + MACHINE_DELAY.as_millis() as u64 =>
             {
@@ -277,6 +281,9 @@
             run.insert(0, (start, Event::DrainListed { coordinator: 0, node: 0, drains: true }));
             run[3] = (start + ms(700), began(start + ms(700)));
         });
+        detects("memory", |run, start| {
+            run.push((start, Event::PeakMemory { coordinator: 0, kb: MEMORY_KB }))
+        });
         detects("crash", |run, start| run.push((start, Event::Crashed { coordinator: 0 })));
         detects("end:", |run, _| run[5].1 = Event::Ended { coordinator: 0, after_ms: 4000, clean: true });
         detects("end:", |run, _| run[5].1 = Event::Ended { coordinator: 0, after_ms: 1, clean: false });
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -67,6 +67,11 @@
     Started {
         coordinator: usize,
     },
+    /// The largest memory that a process of a coordinator has had, as the kernel counts it.
+    PeakMemory {
+        coordinator: usize,
+        kb: u64,
+    },
     /// A coordinator was told to terminate.
     Terminated {
         coordinator: usize,
