Close connections before the exit that short deadlines bring forward

A connection that is closed 0.45 s after SIGTERM waits 1 s for its client; with short deadlines the process is due to exit before, and ended it with a reset.

The wait now ends 20 ms before the exit.

tests/clients.rs: logs the warning; now it does not.

--- a/src/net/http_server/connection.rs
+++ b/src/net/http_server/connection.rs
@@ -266,7 +266,7 @@
     /// that it has not read yet. Data that still arrives is therefore read and discarded, within limits. No
     /// request in it is served, because the client has already been told of the close.
     async fn close(&mut self) {
-        let ClientConnection { stream, input: Input { buffer, .. }, slot, .. } = self;
+        let ClientConnection { stream, input: Input { buffer, .. }, slot, shutdown, .. } = self;
         slot.set_activity(ConnectionActivity::Draining);
         stream.shut_down_writing();
         let mut stream = &*stream;
@@ -280,7 +280,8 @@
                 }
             }
         };
-        timeout_at(Instant::now() + MAX_LINGER, drained.or(slot.close_requested())).await;
+        let deadline = shutdown.limit_linger(Instant::now() + MAX_LINGER);
+        timeout_at(deadline, drained.or(slot.close_requested())).await;
     }
 }
 
--- a/src/net/http_server/graceful_shutdown.rs
+++ b/src/net/http_server/graceful_shutdown.rs
@@ -42,6 +42,8 @@
 /// exits. The second half is reserved for a stall of the process, so that a stall in this period does not
 /// lose accepted queries.
 const FINAL_PERIOD: Duration = Duration::from_millis(240);
+/// Period before the exit in which connections no longer wait for their clients to close them.
+const CLOSE_PERIOD: Duration = Duration::from_millis(20);
 const _: () = assert!(MAX_PROCESS_STALL.as_millis() + SOCKET_SLACK.as_millis() < FINAL_PERIOD.as_millis());
 const _: () = assert!(ACCEPT_GRACE.as_millis() + FINAL_PERIOD.as_millis() < READ_GRACE.as_millis());
 
@@ -126,6 +128,12 @@
         self.answer_deadline.get().map_or(deadline, |answer_deadline| deadline.min(answer_deadline))
     }
 
+    /// Returns the earlier of `deadline` and the time by which connections have to be closed, shortly before the
+    /// process exits.
+    pub(super) fn limit_linger(&self, deadline: Instant) -> Instant {
+        self.exit_deadline().map_or(deadline, |exit_deadline| deadline.min(exit_deadline - CLOSE_PERIOD))
+    }
+
     /// Returns the time by which the process has to exit: before SIGKILL, with time left for a stall of the
     /// process. `None` before the shutdown, and if no SIGKILL is due.
     pub fn exit_deadline(&self) -> Option<Instant> {
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -285,3 +285,26 @@
         assert!(elapsed < Duration::from_secs(3), "{n}: {elapsed:?} {answer:?}");
     }
 }
+
+/// Guards against a process that waits for its clients until it is due to be killed: with short deadlines, that is
+/// before a client that does not close its side has been waited for in full.
+#[test]
+fn with_short_deadlines_connections_are_closed_before_the_exit() {
+    let node = StubDataNode::start(true);
+    let folder = write_configuration("clients_short_deadlines", &[node.address], node.address, 1, 75);
+    for deadline in ["8.0", "6.0", "4.0"] {
+        let (usual, short) = (format!("\"DeadlineS\":{deadline}"), "\"DeadlineS\":0.6");
+        replace_in_configuration(&folder, &usual, short);
+    }
+    for objective in ["4.0", "2.0"] {
+        replace_in_configuration(&folder, &format!("\"AimS\":{objective}"), "\"AimS\":0.4");
+    }
+    let mut program = Program::start(&folder, false);
+    let mut idle = idle_client(&program);
+    program.signal("-TERM");
+    program.wait_for_log("stopping");
+    expect_closed(&mut idle);
+    let next_line = program.wait_for_log("");
+    assert!(next_line.contains("stopped"), "{next_line}");
+    program.wait_for_exit();
+}
