Evict clients with half of their first request in batches

With all slots taken by clients that had stopped half way through their first request, one was evicted at a time, and a client in the backlog waited for seconds.

--- a/src/net/http_server/acceptor.rs
+++ b/src/net/http_server/acceptor.rs
@@ -7,8 +7,8 @@
 //!
 //! Invariants: at most [`DescriptorBudget::max_client_connections`] connections are open, except for those
 //! accepted from the backlog at the end of a graceful shutdown. While an evicted connection is closing, no
-//! other one is evicted, except for connections on which nothing has been received, which are evicted in
-//! batches.
+//! other one is evicted, except for connections on which no complete request has been received, which are
+//! evicted in batches.
 #![warn(missing_docs)]
 
 use std::cell::{Cell, RefCell};
@@ -36,8 +36,8 @@
 const LOCAL_FAILURE_PAUSE: Duration = Duration::from_millis(5);
 
 /// Divisor of the number of open connections that yields the size of an eviction batch. Only connections on
-/// which nothing has been received are evicted in batches, because a client that waits while many of them
-/// are evicted one at a time would reach its deadline. Draining connections are closed in batches as well.
+/// which no complete request has been received are evicted in batches, because a client that waits while many of
+/// them are evicted one at a time would reach its deadline. Draining connections are closed in batches as well.
 const EVICTION_BATCH_DIVISOR: usize = 8;
 
 /// Accepts connections up to a limit and serves each on its own task.
@@ -101,9 +101,9 @@
     /// Evicts connections and returns how long to wait for them to close.
     ///
     /// Draining connections are closed first. If there are none, a batch of connections on which nothing has
-    /// been received is evicted. If there are none of these either, one other connection is evicted, unless
-    /// an evicted connection is still closing. Among connections with the same activity, those that have had
-    /// it for longest come first.
+    /// been received is evicted, or else of those with a part of the first request. If there are none of these
+    /// either, one other connection is evicted, unless an evicted connection is still closing. Among connections
+    /// with the same activity, those that have had it for longest come first.
     fn evict(&self, now: Instant) -> Duration {
         let slots = self.slots.borrow();
         let ending = slots.values().filter(|slot| slot.is_ending(now)).count();
@@ -115,7 +115,9 @@
         let batch = (slots.len() / EVICTION_BATCH_DIVISOR).max(1);
         let count = match activity {
             ConnectionActivity::Draining => batch,
-            ConnectionActivity::AwaitingFirstByte => batch.saturating_sub(ending),
+            ConnectionActivity::AwaitingFirstByte | ConnectionActivity::AwaitingFirstRequest => {
+                batch.saturating_sub(ending)
+            }
             _ => usize::from(ending == 0),
         };
         let same_activity = evictable.into_iter().take_while(|slot| slot.activity() == activity);
