--- a/src/net/memory_budget.rs
+++ b/src/net/memory_budget.rs
@@ -216,7 +216,7 @@
         self.budget.add(bytes);
     }
 
-    /// Allows the lease to be reclaimed from [`MIN_HOLD`] after `now` on.
+    /// Allows the lease to be reclaimed from `MIN_HOLD` after `now` on.
     pub fn set_reclaimable(&self, now: Instant) {
         self.retain();
         let number = self.budget.next_number.get();
