Refuse searches for lack of memory with 429, as the query API's page says

The budget's refusal was 503 on both HTTP fronts. On the platform 503 is a refusal; on the query API it means that tiles failed, and 429 with Retry-After that nothing was asked. Searches get 429 now.

--- a/src/net/opensearch/query_api.rs
+++ b/src/net/opensearch/query_api.rs
@@ -27,6 +27,9 @@
     }
 
     fn error_response(&self, status: u16, http_error: &HttpError) -> Response {
+        if matches!(http_error, HttpError::OutOfMemory) {
+            return self.rejected_response("the memory for requests is exhausted");
+        }
         let kind = match status {
             413 => "content_too_long_exception",
             408 => "timeout_exception",
--- a/tests/crowd_memory/http.rs
+++ b/tests/crowd_memory/http.rs
@@ -1,8 +1,8 @@
 //! Crowds at the fronts that speak HTTP/1.1.
-use std::io::Read;
+use std::io::{Read, Write};
 
 use crate::common::*;
-use crate::crowd::{check_crowd, limit_memory};
+use crate::crowd::{check_crowd, limit_memory, CONNECTIONS};
 
 /// The fronts that speak HTTP/1.1.
 #[derive(Clone, Copy)]
@@ -79,3 +79,32 @@
         head(Front::Platform, &fields).trim_end().to_owned() + "\r\nlong: " + &"x".repeat(15_000);
     check("crowd_short_fields", Front::Platform, &unfinished);
 }
+
+/// Guards against a refusal for lack of memory that clients cannot tell from a failure.
+#[test]
+fn requests_that_exceed_the_memory_are_refused_with_advice_to_retry() {
+    for (name, front, refusal) in
+        [("crowd_refused", Front::Platform, "503"), ("crowd_refused_search", Front::QueryApi, "429")]
+    {
+        let node = StubDataNode::start(true);
+        let folder = write_configuration(name, &[node.address], node.address, 1, 75);
+        limit_memory(&folder);
+        let program = Program::start(&folder, true);
+        let crowded = match front {
+            Front::Platform => program.address,
+            Front::QueryApi => program.search_address.expect("started"),
+        };
+        let mut crowd: Vec<_> = (0..CONNECTIONS / 3).map(|_| connect(crowded)).collect();
+        for stream in &mut crowd {
+            stream.write_all(half_sent(front).as_bytes()).expect("written");
+        }
+        let answers: Vec<String> = crowd.iter_mut().filter_map(read_http).collect();
+        let is_refused = |answer: &&String| answer.starts_with(&format!("HTTP/1.1 {refusal}"));
+        let refused: Vec<&String> = answers.iter().filter(is_refused).collect();
+        println!("{} of {} refused", refused.len(), answers.len());
+        assert!(!refused.is_empty(), "{:?}", answers.first());
+        assert!(refused.iter().all(|answer| answer.contains("Retry-After: ")), "{}", refused[0]);
+        let other = answers.iter().find(|answer| !is_refused(answer) && !answer.starts_with("HTTP/1.1 408"));
+        assert_eq!(other, None, "the others are out of time");
+    }
+}
