--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -327,6 +327,7 @@
         ("/settings/PeriodS", json!(5), "PeriodS"),
         ("/settings/Classes/1/Name", json!("overlap-check"), "Classes[1].Name"),
         ("/limits/sockets", json!(47), "limits.sockets"),
+        ("/limits", json!({"memory_mb": 15.5}), "limits.memory_mb"),
         ("/seed", json!("xyz"), "seed"),
         ("/seed", json!("11112222333344445"), "seed"),
         ("/listen", json!("nowhere"), "RELAY_LISTEN"),
