Record the end of a drain before it is told, in the soak

The trace: discovery wrote the list that ended the drain, the coordinator logged it (seq 4, at 4.9888 s) and sent the part at 4.9889 s, and the test recorded the end of the drain after that. The send was allowed.

The end of a drain is recorded before the list is written, its start after it, as before. The bound of 0.55 s and all else of the check stay.

--- a/tests/soak/discovery.rs
+++ b/tests/soak/discovery.rs
@@ -131,6 +131,18 @@
         }
     }
 
+    /// Records the drains that a list ends. This precedes the write of the list, since the coordinator may send
+    /// to the data node as soon as it has read the list.
+    fn record_ended_drains(&self, coordinator: usize, follower: &mut Follower, listed: &[AnnouncedState]) {
+        for (node, (drains, _)) in listed.iter().copied().enumerate() {
+            let Some((announced_drains, _)) = follower.announced.get_mut(&node) else { continue };
+            if *announced_drains && !drains {
+                *announced_drains = false;
+                self.event_log.record(Event::DrainListed { coordinator, node, drains });
+            }
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream, coordinator: usize) {
         let _ = stream.set_nodelay(true);
         while let Some(call) = read_http(&mut stream) {
@@ -169,10 +181,11 @@
         let hosts: Vec<String> = self.nodes.iter().map(entry).collect();
         let body = format!(r#"{{"seq":{version},"whole":true,"hosts":[{}]}}"#, hosts.join(","));
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let follower = followers.entry(coordinator).or_default();
+        self.record_ended_drains(coordinator, follower, &listed);
         if stream.write_all(answer.as_bytes()).is_err() {
             return false;
         }
-        let follower = followers.entry(coordinator).or_default();
         self.record_announced(coordinator, follower, &listed);
         true
     }
