--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,9 +7,12 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
+mod program_path;
+
 use fault_control::{Plan, PLAN_VARIABLE};
 use marlgap::balancer::interface::{Class, ClassId, Idempotency, ShardId, TenantId};
 use marlgap::coordinator::{Query, TakeoverProtection};
+pub use program_path::{fault_library, program_path};
 
 /// Returns a class with a single step that requires all its parts, each of which may be repeated.
 pub fn single_step_class() -> Class {
@@ -181,20 +184,6 @@
     }
 }
 
-/// Returns the path of the program under test: the one that cargo built, or an earlier build that
-/// `MARLGAP_PROGRAM` names, to show that a regression test fails with it.
-pub fn program_path() -> String {
-    std::env::var("MARLGAP_PROGRAM").unwrap_or_else(|_| env!("CARGO_BIN_EXE_marlgap").to_owned())
-}
-
-/// Returns the path of the library to preload, which cargo builds beside the test binaries.
-pub fn fault_library() -> PathBuf {
-    let program = Path::new(env!("CARGO_BIN_EXE_marlgap"));
-    let library = program.with_file_name("deps").join("libfault_shim.so");
-    assert!(library.exists(), "{} is missing", library.display());
-    library
-}
-
 /// Creates a fault plan for the program in `folder`, with no fault armed.
 pub fn fault_plan(folder: &Path, seed: u64) -> Plan {
     Plan::create(&folder.join("faults"), seed).expect("a plan")
--- a/tests/crowd_memory/http.rs
+++ b/tests/crowd_memory/http.rs
@@ -1,5 +1,6 @@
 //! Crowds at the fronts that speak HTTP/1.1.
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 
 use crate::common::*;
 use crate::crowd::{check_crowd, limit_memory, CONNECTIONS};
@@ -27,15 +28,21 @@
     head(front, "Content-Length: 65536\r\n") + &"x".repeat(65_000)
 }
 
-fn check(name: &str, front: Front, request: &str) {
+/// Starts the program with little memory, and a data node that serves. Also returns the address of a front.
+fn start(name: &str, front: Front) -> (StubDataNode, Program, SocketAddr) {
     let node = StubDataNode::start(true);
     let folder = write_configuration(name, &[node.address], node.address, 1, 75);
     limit_memory(&folder);
     let program = Program::start(&folder, true);
-    let crowded = match front {
+    let address = match front {
         Front::Platform => program.address,
         Front::QueryApi => program.search_address.expect("started"),
     };
+    (node, program, address)
+}
+
+fn check(name: &str, front: Front, request: &str) {
+    let (_node, program, crowded) = start(name, front);
     check_crowd(&program, crowded, request.as_bytes(), |stream| {
         let _ = stream.read(&mut [0]);
     });
@@ -86,14 +93,7 @@
     for (name, front, refusal) in
         [("crowd_refused", Front::Platform, "503"), ("crowd_refused_search", Front::QueryApi, "429")]
     {
-        let node = StubDataNode::start(true);
-        let folder = write_configuration(name, &[node.address], node.address, 1, 75);
-        limit_memory(&folder);
-        let program = Program::start(&folder, true);
-        let crowded = match front {
-            Front::Platform => program.address,
-            Front::QueryApi => program.search_address.expect("started"),
-        };
+        let (_node, _program, crowded) = start(name, front);
         let mut crowd: Vec<_> = (0..CONNECTIONS / 3).map(|_| connect(crowded)).collect();
         for stream in &mut crowd {
             stream.write_all(half_sent(front).as_bytes()).expect("written");
