Limit client connections over HTTP by memory as well as by descriptors

With 4,096 descriptors at 32 MB, 2,800 half-sent queries brought a process to 34.3 MiB of 30.5: the connections themselves take up 7.7 KB each, and only descriptors limited them. Nothing changes at 1,024 descriptors (744 of 976).

--- a/src/server/front.rs
+++ b/src/server/front.rs
@@ -13,6 +13,9 @@
 use crate::net::memory_budget::MemoryBudget;
 use crate::net::socket;
 
+/// Memory of a client connection over HTTP/1.1 besides what its client has sent, in bytes.
+const HTTP_CONNECTION_BYTES: usize = 8 * 1024;
+
 /// Common parameters for starting the fronts.
 pub(super) struct Startup {
     /// Executor of all tasks of the process.
@@ -46,6 +49,13 @@
         DescriptorBudget::new(self.descriptors_per_front).backend_reserve()
     }
 
+    /// Returns the descriptors of a front that speaks HTTP/1.1. Its client connections take up a quarter of the
+    /// memory at most.
+    pub fn http_descriptors(&self) -> Rc<DescriptorBudget> {
+        let max_clients = self.client_memory.counts().limit / HTTP_CONNECTION_BYTES;
+        Rc::new(DescriptorBudget::with_max_clients(self.descriptors_per_front, max_clients))
+    }
+
     /// Accepts connections on `listener` and serves each on its own task.
     pub fn accept<F>(
         &self,
--- a/src/server/platform.rs
+++ b/src/server/platform.rs
@@ -11,7 +11,6 @@
 use crate::config::settings::Deployment;
 use crate::coordinator::Coordinator;
 use crate::net::data_nodes::DataNodes;
-use crate::net::descriptors::DescriptorBudget;
 use crate::net::discovery::Discovery;
 use crate::net::platform_api::PlatformApi;
 
@@ -26,7 +25,7 @@
     let listener = listen(platform.listen).await?;
     let Startup { executor, seed, log, .. } = startup;
     let deployment = Rc::new(platform.deployment.clone());
-    let descriptors = Rc::new(DescriptorBudget::new(startup.descriptors_per_front));
+    let descriptors = startup.http_descriptors();
     let nodes = DataNodes::new(
         (*deployment).clone(),
         descriptors.clone(),
--- a/src/server/query_api.rs
+++ b/src/server/query_api.rs
@@ -7,7 +7,6 @@
 use super::{metrics, ServeError};
 use crate::config::operator::QueryApiConfig;
 use crate::net::cluster::ClusterNode;
-use crate::net::descriptors::DescriptorBudget;
 use crate::net::opensearch;
 
 /// Starts the front and joins the cluster, if there is one.
@@ -27,6 +26,6 @@
     info!(log, "query API listening"; "address" => %bound_address(&listener, configured));
     let counts = metrics::log_query_counts(front.coordinator.clone(), "query API", log.clone());
     executor.spawn(counts).detach();
-    let descriptors = Rc::new(DescriptorBudget::new(startup.descriptors_per_front));
+    let descriptors = startup.http_descriptors();
     Ok(startup.accept(listener, descriptors, move |client| front.clone().serve(client)))
 }
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
+use marlgap::net::descriptors::DescriptorBudget;
 use marlgap::net::memory_budget::{MemoryBudget, MemoryExhausted};
 
 const LIMIT: usize = 1000;
@@ -68,3 +69,10 @@
     assert_eq!(budget.counts().used, 2 * LIMIT + 500, "a response is sent in any case");
     assert_eq!(budget.lease().resize(1, now), Err(MemoryExhausted));
 }
+
+/// Guards against client connections that take up more than the memory because there are descriptors for them.
+#[test]
+fn client_connections_are_limited_by_memory_as_well_as_by_descriptors() {
+    assert_eq!(DescriptorBudget::with_max_clients(992, 976).max_client_connections(), 744);
+    assert_eq!(DescriptorBudget::with_max_clients(4064, 976).max_client_connections(), 976);
+}
