End sends when the endpoint list may lack a drain that counts as notified

Callers lost nothing; data nodes that drained got new parts up to 0.39 s after the grace.

Cause: watch_policy.rs added up 2 x 2.5 s and "one second for another call" and took the sum for a bound.

Change: a lease on the list (send_policy/endpoint_lease.rs). Only an answer of the current address renews it, from the moment whose state the answer must contain; it ends 6 s later (or after the polling time of the settings, if that is shorter) plus the grace less 0.15 s for a stall, and at once when an answer may be lost. Pushed lists: the grace less 0.15 s after the agent's last answer. The writer looks at it before each frame, when the socket takes bytes, so that the first byte follows the check. An attempt waits 0.1 s for the next list and then ends as never sent. A call that failed is repeated at once, once an answer, unless discovery itself refused it. After a change of address the old watch is read until the new address has answered. Agents are called with a wait of 50 ms instead of 100 so that an answer comes while the list is valid; tests/discovery.rs names that figure. New log lines and counts tell the state of the list and the calls.

--- a/benches/scale/control/plane/watches.rs
+++ b/benches/scale/control/plane/watches.rs
@@ -8,12 +8,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use marlgap::balancer::interface::{self, EndpointUpdate};
 use marlgap::net::buffer::Buffer;
 use marlgap::net::discovery::watch_policy::{
-    WatchPolicy, CONNECT_TIMEOUT, MAX_BACKOFF, MIN_CALL_INTERVAL, WATCH_CONTINUES_WITHIN,
+    WatchPolicy, CONNECT_TIMEOUT, MAX_BACKOFF, WATCH_CONTINUES_WITHIN,
 };
 use marlgap::net::discovery::{version, EndpointList, MAX_LIST_BYTES};
 use marlgap::net::http::{self, MessageKind};
@@ -27,6 +27,8 @@
 const DISCOVERY_BANDWIDTH: u64 = 1_250_000_000;
 /// Address of discovery.
 const DISCOVERY_ADDRESS: ([u8; 4], u16) = ([10, 0, 0, 2], 8500);
+/// Drain grace of the coordinators.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
 /// Location of discovery.
 const DISCOVERY_LOCATION: Location = Location { region: 0, zone: 0 };
 
@@ -124,7 +126,7 @@
             links: Links::new(seed, 0),
             sent: Flow::default(),
             received: Flow::default(),
-            policy: WatchPolicy::for_discovery(interface::Discovery::Poll { poll_within: 0.0 }),
+            policy: WatchPolicy::new(interface::Discovery::Poll { poll_within: 10.0 }, DRAIN_GRACE),
             queue: Queue::new(),
             pending_calls: Vec::new(),
             busy_until: 0,
--- a/benches/scale/control/plane/watches/calls.rs
+++ b/benches/scale/control/plane/watches/calls.rs
@@ -2,7 +2,7 @@
 use super::*;
 
 /// Converts a constant of the program to virtual time.
-fn micros(time: std::time::Duration) -> Micros {
+fn micros(time: Duration) -> Micros {
     time.as_micros() as Micros
 }
 
@@ -28,8 +28,8 @@
             Event::AnswerOverdue(i, call) if self.watches[i].call == call => {
                 // No answer within the limit: reconnect, but no sooner than the minimum interval between
                 // calls.
-                let after =
-                    (self.watches[i].called_at + micros(MIN_CALL_INTERVAL)).saturating_sub(self.now());
+                let after = (self.watches[i].called_at + micros(self.policy.min_call_interval))
+                    .saturating_sub(self.now());
                 self.reconnect_after(i, after);
             }
             Event::ConnectionReset(i, call) if self.watches[i].call == call => {
@@ -122,8 +122,11 @@
                     watch.updates.add(watch.request_bytes + bytes.len());
                 }
                 watch.call += 1;
-                let next =
-                    if newer { 0 } else { (watch.called_at + micros(MIN_CALL_INTERVAL)).saturating_sub(now) };
+                let next = if newer {
+                    0
+                } else {
+                    (watch.called_at + micros(self.policy.min_call_interval)).saturating_sub(now)
+                };
                 self.queue.schedule(next, Event::SendCall(i, watch.call, 0));
             }
             Err(error) => {
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -49,6 +49,8 @@
     pub max_open: usize,
     /// The settings of the connections to data nodes.
     pub connections: ConnectionSettings,
+    /// The time from the notification of a drain until attempts to the data node must stop.
+    pub drain_grace: Duration,
 }
 
 impl Deployment {
@@ -148,6 +150,7 @@
     Ok(Deployment {
         settings: balancer_settings(&json, classes, tenants)?,
         connections: sections::connections(&json)?,
+        drain_grace: sections::drain_grace(&json)?,
         report_fields,
         class_names: unique_names(&json, "Classes")?,
         tenant_names: unique_names(&json, "Tenants")?,
--- a/src/config/settings/sections.rs
+++ b/src/config/settings/sections.rs
@@ -1,13 +1,20 @@
 //! The sections of the settings, each parsed into the corresponding part of [`Settings`].
 //!
 //! [`Settings`]: crate::balancer::interface::Settings
+use std::time::Duration;
+
 use serde_json::Value;
 
 use super::error::KeyProblem;
-use super::value::{at_least, count, duration, flag, fraction, get, list, optional_number, positive, string};
+use super::value::{
+    at_least, count, duration, flag, fraction, get, list, optional_number, positive, string, MAX_DURATION,
+};
 use super::{ConnectionSettings, LoadReportField, SettingsParseError};
 use crate::balancer::interface::{Discovery, LoadReporting, RetryBudget, SlowStart, Tenant};
 
+/// Drain grace of settings that do not state one, in seconds.
+const DEFAULT_DRAIN_GRACE_S: f64 = 0.25;
+
 /// Parses `Tenants`. A tenant without a quota is not limited.
 pub(super) fn tenants(settings: &Value) -> Result<Vec<Tenant>, SettingsParseError> {
     let mut tenants = Vec::new();
@@ -54,6 +61,12 @@
     }
 }
 
+/// Parses `Safety.DrainGraceS`.
+pub(super) fn drain_grace(settings: &Value) -> Result<Duration, SettingsParseError> {
+    let seconds = at_least(settings, "Safety.DrainGraceS", 0.0)?.unwrap_or(DEFAULT_DRAIN_GRACE_S);
+    Ok(Duration::try_from_secs_f64(seconds).unwrap_or(MAX_DURATION).min(MAX_DURATION))
+}
+
 /// Parses the retry budget in `Safety`. One of its two values is sufficient; the other one defaults to 0.
 pub(super) fn retry_budget(settings: &Value) -> Result<Option<RetryBudget>, SettingsParseError> {
     let share = at_least(settings, "Safety.RepeatRatio", 0.0)?;
--- a/src/config/settings/value.rs
+++ b/src/config/settings/value.rs
@@ -12,7 +12,7 @@
 const MIN_DURATION_S: f64 = 0.001;
 
 /// Longer timeouts are reduced to this one, since no connection lives as long.
-const MAX_DURATION: Duration = Duration::from_secs(86_400);
+pub(super) const MAX_DURATION: Duration = Duration::from_secs(86_400);
 
 /// Returns the value at a path, or `None` if it is absent or null.
 pub(super) fn get<'a>(settings: &'a Value, path: &str) -> Option<&'a Value> {
--- a/src/net/data_nodes/connection.rs
+++ b/src/net/data_nodes/connection.rs
@@ -185,10 +185,11 @@
 
     /// Returns the position in the queue of the first frame that may be written. An attempt may be written
     /// only if a stream is free: otherwise it would wait unread at the data node, where it cannot be
-    /// cancelled, and could be read after the final answer of its query.
-    pub fn next_writable(&self, max_streams: usize) -> Option<usize> {
+    /// cancelled, and could be read after the final answer of its query. With `may_send` unset, only
+    /// cancellations may be written.
+    pub fn next_writable(&self, max_streams: usize, may_send: bool) -> Option<usize> {
         let full = self.occupied_streams(Instant::now()) >= max_streams;
-        first_writable(&self.queue.borrow(), full)
+        first_writable(&self.queue.borrow(), full, may_send)
     }
 
     /// Returns whether the connection is established with nothing queued and nothing in flight.
@@ -334,9 +335,13 @@
 }
 
 /// Returns the position of the first frame that may be written. No attempt may be written if all streams are
-/// occupied.
-pub fn first_writable(queue: &VecDeque<OutgoingFrame>, streams_full: bool) -> Option<usize> {
-    queue.iter().position(|frame| !streams_full || !frame.is_attempt())
+/// occupied, and only cancellations if `may_send` is unset.
+pub fn first_writable(queue: &VecDeque<OutgoingFrame>, streams_full: bool, may_send: bool) -> Option<usize> {
+    queue.iter().position(|frame| match frame {
+        OutgoingFrame::Attempt(_) => may_send && !streams_full,
+        OutgoingFrame::Probe(..) => may_send,
+        OutgoingFrame::Cancel(_) => true,
+    })
 }
 
 /// Sends an outcome to the callers of attempts. It is dropped for an attempt whose caller has stopped
--- a/src/net/data_nodes/mod.rs
+++ b/src/net/data_nodes/mod.rs
@@ -5,6 +5,7 @@
 //! thread.
 //!
 //! - this file: the known data nodes and the choice of a connection
+//! - `lease`: what may be written while the endpoint list is not valid
 //! - `transport`: attempts and probes, as the coordinator uses them
 //! - `connection`: the state of one connection
 //! - `exchange`, `writer`, `reader`: the socket I/O of one connection
@@ -16,6 +17,7 @@
 mod connection;
 mod exchange;
 pub mod frames;
+mod lease;
 mod reader;
 mod request_context;
 mod transport;
@@ -36,8 +38,9 @@
 use super::LogRateLimiter;
 use crate::balancer::interface::{EndpointState, ReplicaId};
 use crate::config::settings::Deployment;
-use crate::send_policy::{self, StartEstimate};
+use crate::send_policy::{self, EndpointLease, StartEstimate};
 use connection::Connection;
+pub use lease::MAX_LIST_WAIT;
 pub use request_context::RequestContext;
 
 /// Maximum number of connections to one data node.
@@ -109,6 +112,9 @@
     descriptors: Rc<DescriptorBudget>,
     /// Memory for partially received answers.
     memory: Rc<MemoryBudget>,
+    /// The lease on the endpoint list, if sends are limited by one.
+    lease: Cell<Option<EndpointLease>>,
+    lease_changed: event_listener::Event,
 }
 
 impl DataNodes {
@@ -132,6 +138,8 @@
             log_limiter: LogRateLimiter::default(),
             descriptors,
             memory,
+            lease: Cell::default(),
+            lease_changed: event_listener::Event::new(),
         })
     }
 
--- a/src/net/data_nodes/transport.rs
+++ b/src/net/data_nodes/transport.rs
@@ -11,6 +11,7 @@
 use crate::balancer::interface::{LoadReport, LoadReporting, Outcome, ReplicaId};
 use crate::coordinator::{AttemptResult, Call, CancellationToken, Step, Transport};
 use crate::net::timeout_at;
+use crate::send_policy::SendDenied;
 
 /// Time limit for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -23,6 +24,11 @@
     ///
     /// This method is not cancel safe: dropping the future leaves the attempt in flight without a caller.
     async fn call(self: Rc<Self>, call: Call<Self>, stop: CancellationToken) -> AttemptResult {
+        if !self.wait_for_valid_list(call.deadline, &stop).await {
+            debug!(self.log, "not sent"; "query" => &call.context.id, "shard" => call.shard.0,
+                "replica" => call.replica.0, "why" => ?SendDenied::EndpointListInvalid);
+            return Outcome::NeverSent.into();
+        }
         let Some((connection, incarnation)) = self.choose_connection(call.replica) else {
             return Outcome::NeverSent.into();
         };
--- a/src/net/data_nodes/writer.rs
+++ b/src/net/data_nodes/writer.rs
@@ -20,8 +20,8 @@
 /// Fraction of the idle timeout of data nodes after which this side closes an idle connection. If
 /// the data node closed it first, a request that crosses the close would end in a reset.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
-/// Interval between checks for a free stream while attempts wait for one: streams of abandoned attempts
-/// become free by the passage of time.
+/// Interval between checks for a free stream or a valid endpoint list while attempts wait for one: streams of
+/// abandoned attempts become free by the passage of time.
 const STREAM_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time subtracted from the timeout of an attempt if no concurrent attempt of its part is allowed. The data
 /// node counts the timeout from the arrival of the attempt, after the transit and, on a new connection, the
@@ -54,6 +54,11 @@
     pub(super) async fn write(&self, replica: ReplicaId, connection: &Connection, stream: &mut &Stream) {
         let mut bytes = Vec::new();
         while self.wait_for_writable(connection).await {
+            // A frame that waited for the socket after its check could start too late.
+            let accepts_bytes = timeout_at(Instant::now() + MAX_FRAME_WRITE_TIME, stream.wait_writable());
+            if accepts_bytes.await.is_none() {
+                return self.record_stalled_frame(replica, connection);
+            }
             let mut frame = self.next_frame(replica, connection, &mut bytes);
             // If everything queued was cancelled, the connection has stayed idle from the data node's point
             // of view.
@@ -92,16 +97,18 @@
         let idle_timeout = self.deployment.connections.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
         let max_streams = self.deployment.connections.max_streams;
         loop {
-            let waits_for_stream = !connection.queue.borrow().is_empty();
-            let deadline = if waits_for_stream {
+            let is_blocked = !connection.queue.borrow().is_empty();
+            let deadline = if is_blocked {
                 Instant::now() + STREAM_POLL_INTERVAL
             } else {
                 connection.last_used.get() + idle_timeout
             };
-            let writable = connection.wait_until(|| connection.next_writable(max_streams).is_some());
-            if timeout_at(deadline, writable).await.is_some() {
+            let has_writable =
+                || connection.next_writable(max_streams, self.may_send(Instant::now())).is_some();
+            if timeout_at(deadline, connection.wait_until(has_writable)).await.is_some() {
                 return true;
             }
+            self.end_unsendable(connection);
             let unused = connection.last_used.get() + idle_timeout <= Instant::now();
             if unused && connection.is_idle() {
                 return false;
@@ -128,7 +135,7 @@
 
     /// Takes the next frame off the queue and appends it to `bytes`, which must be empty.
     ///
-    /// This is the last check of the replica and of whether an attempt is still wanted. An attempt is not
+    /// This is the last check of the replica, of the endpoint list, and of whether an attempt is still wanted. An attempt is not
     /// sent if its data node began to drain, was removed or restarted while the attempt was queued or
     /// waiting for a connection, or if its part has ended, was cancelled or is past its deadline.
     fn next_frame(&self, replica: ReplicaId, connection: &Connection, bytes: &mut Vec<u8>) -> NextFrame {
@@ -139,11 +146,12 @@
         let occupied = connection.occupied_streams(now);
         let max_attempts = self.deployment.settings.max_parts_per_call.max(1) as usize;
         let mut attempts = Vec::new();
+        let may_send = self.may_send(now);
         let start = frames::begin_frame(bytes, b'q');
         while attempts.len() < max_attempts {
             // The attempts of this frame occupy streams as well.
             let full = occupied + attempts.len() >= self.deployment.connections.max_streams;
-            let Some(next) = first_writable(&queue, full) else { break };
+            let Some(next) = first_writable(&queue, full, may_send) else { break };
             // Attempts that are already batched are sent before a frame of another kind.
             if !attempts.is_empty() && !queue[next].is_attempt() {
                 break;
@@ -192,6 +200,7 @@
             transit_time: transit,
             cancelled: attempt.cancellation.is_cancelled(),
             replica_ready: node.is_some_and(|node| node.incarnation == attempt.incarnation),
+            endpoint_list_valid: self.may_send(now),
             retry_window_closed: attempt.cancellation.is_past_retry_window(now),
         };
         match conditions.permit() {
@@ -203,7 +212,7 @@
                 invariants::record_denial(denied);
                 debug!(self.log, "not sent"; "id" => &attempt.id, "replica" => replica.0, "why" => ?denied);
                 // For the other reasons the attempt has ended or its caller is about to end it.
-                if matches!(denied, SendDenied::ReplicaNotReady | SendDenied::RetryWindowClosed) {
+                if !matches!(denied, SendDenied::Cancelled | SendDenied::DeadlineExceeded) {
                     let _ = attempt.result.sender.try_send(Outcome::NeverSent.into());
                 }
                 None
--- a/src/net/discovery/list.rs
+++ b/src/net/discovery/list.rs
@@ -1,6 +1,7 @@
 //! Data types of discovery's answers and the errors of a call. Performs no I/O.
 #![warn(missing_docs)]
 use std::borrow::Cow;
+use std::io::{self, ErrorKind};
 
 use serde::Deserialize;
 
@@ -53,9 +54,17 @@
 /// Errors of a call to discovery.
 #[derive(Debug, thiserror::Error)]
 pub enum DiscoveryError {
-    /// The connection failed, or the received bytes are not HTTP.
+    /// The connection failed during a call, or the received bytes are not one HTTP answer.
+    #[error("{error}")]
+    FailedCall {
+        /// What failed.
+        error: HttpError,
+        /// Whether a part of the answer had arrived.
+        answer_started: bool,
+    },
+    /// The connection could not be established.
     #[error("{0}")]
-    Http(HttpError),
+    ConnectFailed(io::Error),
     /// The status of the answer was not 200.
     #[error("discovery answered with status {0}, expected 200")]
     Status(u16),
@@ -68,13 +77,42 @@
     /// No answer arrived, not even an empty one at the end of the poll's wait.
     #[error("discovery did not answer in time")]
     NoAnswer,
+    /// A later address of discovery has answered meanwhile.
+    #[error("another address of discovery has answered")]
+    Superseded,
     /// The answer contains changes although the complete list was requested.
     #[error("received changes although the complete list was requested")]
     UnexpectedChanges,
 }
 
-impl<E: Into<HttpError>> From<E> for DiscoveryError {
-    fn from(e: E) -> Self {
-        DiscoveryError::Http(e.into())
+impl DiscoveryError {
+    /// Returns whether a call failed although discovery had not refused it.
+    pub(super) fn is_failed_call(&self) -> bool {
+        matches!(
+            self,
+            DiscoveryError::FailedCall { .. }
+                | DiscoveryError::MalformedList(_)
+                | DiscoveryError::UnexpectedChanges
+        )
+    }
+
+    /// Returns whether discovery may have written changes that did not arrive here.
+    ///
+    /// TCP delivers what was written before an orderly end or a reset, so these hide nothing if no byte of an
+    /// answer has arrived. Any other error may discard bytes that were on their way.
+    pub(super) fn may_hide_changes(&self) -> bool {
+        match self {
+            DiscoveryError::FailedCall { error, answer_started } => *answer_started || !ends_in_order(error),
+            error => error.is_failed_call(),
+        }
+    }
+}
+
+/// Returns whether the peer ended the connection, so that everything that it had written was delivered.
+pub(super) fn ends_in_order(error: &HttpError) -> bool {
+    match error {
+        HttpError::ConnectionClosed => true,
+        HttpError::Io(e) => matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe),
+        _ => false,
     }
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -4,15 +4,21 @@
 //! the state of a data node means for queries: it passes endpoints to the connections and to the balancer.
 //!
 //! - this file: converts lists to endpoints
-//! - `watch`: the calls, the handling of their failures, and changes of address
+//! - `follow`: when a watch is started, failures, and changes of address
+//! - `watch`: the calls of one watch
+//! - `log`: what is logged besides single failures
+//! - `source`: the addresses that the process is configured with
 //! - [`version`]: the requests, and the interpretation of their answers
 //! - [`watch_policy`]: time limits and the bounds from which they are derived
 //!
 //! Invariants: a drain reaches the connections before the balancer; changes are applied only to the version
-//! that they are based on; a silent watch is restarted before the changes that it may have missed count as
-//! notified.
+//! that they are based on; only an answer of the current address renews the lease on the list, and an answer
+//! that may be lost ends it.
 #![warn(missing_docs)]
+mod follow;
 mod list;
+mod log;
+mod source;
 pub mod version;
 mod watch;
 pub mod watch_policy;
@@ -20,7 +26,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use async_channel::Receiver;
 use slog::{info, warn, Logger};
@@ -29,9 +35,10 @@
 use super::LogRateLimiter;
 use crate::balancer::interface::{self, CellId, Endpoint, EndpointState, EndpointUpdate, ZoneId};
 use crate::coordinator::{Clock, Coordinator};
-use crate::send_policy::{ListedStart, StartEstimator};
+use crate::send_policy::{EndpointLease, ListedStart, StartEstimator};
 use crate::subsetting::{self, Subset};
 pub use list::{DiscoveryError, EndpointList, ListedEndpoint};
+use source::Generations;
 use watch_policy::WatchPolicy;
 
 /// Maximum size of a list in bytes, enough for about ten thousand data nodes with long names. Only received
@@ -42,9 +49,24 @@
 /// Placeholder for the address of a data node that no connection is opened to.
 const UNUSED_ADDRESS: ([u8; 4], u16) = ([0, 0, 0, 0], 0);
 
+/// Totals since start-up, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DiscoveryCounts {
+    /// Connections that were opened, or tried to be opened.
+    pub connects: u64,
+    /// Calls that were written.
+    pub calls: u64,
+    /// Answers that were applied, with or without changes.
+    pub answers: u64,
+    /// Endpoints in these answers.
+    pub endpoints: u64,
+    /// Answers that may have been lost.
+    pub lost_answers: u64,
+}
+
 /// Discovery client of one coordinator.
 pub struct Discovery {
-    address: Cell<SocketAddr>,
+    first_address: SocketAddr,
     /// Receives the address of discovery each time a configuration is reread.
     address_changes: Receiver<SocketAddr>,
     coordinator: Rc<Coordinator<DataNodes>>,
@@ -52,12 +74,10 @@
     /// Names of the zones. The id of a zone is its index.
     zones: Vec<String>,
     policy: WatchPolicy,
-    /// Start time of the last call, including its connect.
-    last_call_started: Cell<Instant>,
+    generations: Generations,
+    counts: Cell<DiscoveryCounts>,
     /// Estimates the start times of data nodes from the lists of the current address.
     starts: RefCell<StartEstimator>,
-    /// Additional time for an agent's answer, after an earlier answer timed out while it was being received.
-    slow_answer_slack: Cell<Duration>,
     /// The subset of the listed data nodes that this coordinator uses.
     subset: RefCell<Subset>,
     log_limiter: LogRateLimiter,
@@ -77,24 +97,33 @@
         seed: u64,
         log: Logger,
     ) -> Discovery {
+        let policy = WatchPolicy::new(mode, data_nodes.drain_grace());
+        data_nodes.limit_by_lease(EndpointLease::new(policy.lease_terms, Instant::now()));
         Discovery {
-            address: Cell::new(address),
+            first_address: address,
             address_changes,
             coordinator,
             data_nodes,
             zones,
-            policy: WatchPolicy::for_discovery(mode),
-            last_call_started: Cell::new(Instant::now()),
+            policy,
+            generations: Generations::default(),
+            counts: Cell::default(),
             starts: RefCell::default(),
-            slow_answer_slack: Cell::default(),
             subset: RefCell::new(Subset::new(seed, subsetting::SUBSET_SIZE)),
             log_limiter: LogRateLimiter::default(),
             log,
         }
     }
 
+    fn count(&self, change: impl FnOnce(&mut DiscoveryCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
     /// Applies a list, first to the connections, whose pending writes it may stop, then to the balancer.
     pub fn apply(&self, list: &EndpointList, update: EndpointUpdate) {
+        self.count(|counts| counts.endpoints += list.endpoints.len() as u64);
         let clock = self.coordinator.clock();
         let starts = list.endpoints.iter().filter_map(|listed| listed_start(listed, &clock));
         self.starts.borrow_mut().observe(starts, clock.at(Instant::now()));
--- a/src/net/grpc/attempt.rs
+++ b/src/net/grpc/attempt.rs
@@ -91,6 +91,7 @@
             transit_time: Duration::ZERO,
             cancelled: stop.is_cancelled(),
             replica_ready: ready.is_some(),
+            endpoint_list_valid: true,
             retry_window_closed: stop.is_past_retry_window(now),
         };
         let (Some((address, _)), Ok(permit)) =
--- a/src/net/invariants.rs
+++ b/src/net/invariants.rs
@@ -20,6 +20,8 @@
     pub deadline_exceeded: u64,
     /// Attempts whose data node was draining, removed or restarted.
     pub replica_not_ready: u64,
+    /// Attempts while the endpoint list was not valid.
+    pub endpoint_list_invalid: u64,
     /// Retries after the retry window of their class had closed.
     pub retry_window_closed: u64,
     /// Frames that were not written completely in time.
@@ -33,6 +35,7 @@
 static CANCELLED: AtomicU64 = AtomicU64::new(0);
 static DEADLINE_EXCEEDED: AtomicU64 = AtomicU64::new(0);
 static REPLICA_NOT_READY: AtomicU64 = AtomicU64::new(0);
+static ENDPOINT_LIST_INVALID: AtomicU64 = AtomicU64::new(0);
 static RETRY_WINDOW_CLOSED: AtomicU64 = AtomicU64::new(0);
 static STALLED: AtomicU64 = AtomicU64::new(0);
 static LOCAL_FAILURES: AtomicU64 = AtomicU64::new(0);
@@ -54,6 +57,7 @@
         SendDenied::Cancelled => &CANCELLED,
         SendDenied::DeadlineExceeded => &DEADLINE_EXCEEDED,
         SendDenied::ReplicaNotReady => &REPLICA_NOT_READY,
+        SendDenied::EndpointListInvalid => &ENDPOINT_LIST_INVALID,
         SendDenied::RetryWindowClosed => &RETRY_WINDOW_CLOSED,
     });
 }
@@ -89,6 +93,7 @@
         cancelled: read(&CANCELLED),
         deadline_exceeded: read(&DEADLINE_EXCEEDED),
         replica_not_ready: read(&REPLICA_NOT_READY),
+        endpoint_list_invalid: read(&ENDPOINT_LIST_INVALID),
         retry_window_closed: read(&RETRY_WINDOW_CLOSED),
         stalled: read(&STALLED),
         local_failures: read(&LOCAL_FAILURES),
--- a/src/net/opensearch/servers.rs
+++ b/src/net/opensearch/servers.rs
@@ -118,6 +118,7 @@
             transit_time: Duration::ZERO,
             cancelled: stop.is_cancelled(),
             replica_ready: self.ready(call.replica) == Some((address, incarnation)),
+            endpoint_list_valid: true,
             retry_window_closed: stop.is_past_retry_window(now),
         };
         let Ok(permit) = conditions.permit().inspect_err(|denied| invariants::record_denial(*denied)) else {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -246,6 +246,17 @@
         self.socket.get_ref().set_nodelay(true).is_ok()
     }
 
+    /// Waits until a write is not pending, or fails. Cancel safe.
+    pub async fn wait_writable(&self) {
+        let mut polled = [PollFd::new(&self.socket, PollFlags::OUT)];
+        let ready =
+            rustix::io::retry_on_intr(|| rustix::event::poll(&mut polled, Some(&Timespec::default())));
+        if ready.is_ok() && polled[0].revents().is_empty() {
+            // An error is ignored, because the next write reports it as well.
+            let _ = self.socket.writable().await;
+        }
+    }
+
     /// Shuts down the writing side. Errors are ignored, as they mean that the connection has already ended.
     pub fn shut_down_writing(&self) {
         let _ = self.socket.get_ref().shutdown(Shutdown::Write);
--- a/src/send_policy/send.rs
+++ b/src/send_policy/send.rs
@@ -27,6 +27,9 @@
     /// The data node is draining or removed, or is no longer the process that was selected.
     #[error("the replica is not ready")]
     ReplicaNotReady,
+    /// The endpoint list may lack a drain that counts as notified.
+    #[error("the endpoint list is not valid")]
+    EndpointListInvalid,
     /// The attempt would repeat one that may have run, and its class's retry window has closed.
     #[error("the retry window has closed")]
     RetryWindowClosed,
@@ -45,6 +48,8 @@
     pub cancelled: bool,
     /// Whether the data node accepts work and is the process that was selected.
     pub replica_ready: bool,
+    /// Whether the lease on the endpoint list is valid.
+    pub endpoint_list_valid: bool,
     /// Whether the attempt is a repeat that is no longer allowed.
     pub retry_window_closed: bool,
 }
@@ -74,6 +79,9 @@
         if !self.replica_ready {
             return Err(SendDenied::ReplicaNotReady);
         }
+        if !self.endpoint_list_valid {
+            return Err(SendDenied::EndpointListInvalid);
+        }
         if self.retry_window_closed {
             return Err(SendDenied::RetryWindowClosed);
         }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -114,7 +114,7 @@
     assert!(line.contains("entries: 1, whole: true, seq: 5"), "the first list: {line}");
     while health(&program) != 200 {}
     let next = agent.next();
-    assert!(next.head.contains("?index=5&wait=100 "), "{}", next.head);
+    assert!(next.head.contains("?index=5&wait=50 "), "{}", next.head);
     next.answer(&list(6, false, &node("draining")));
     program.wait_for_log("entries: 1, whole: false, seq: 6");
 }
--- /dev/null
+++ b/tests/stale_lists/main.rs
@@ -0,0 +1,241 @@
+//! Drains that do not arrive: whatever happens to discovery, its network or its watch, no part is sent to a data
+//! node later than the drain grace after the drain counts as notified.
+#[path = "../common/mod.rs"]
+mod common;
+mod lease;
+mod rig;
+
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+use common::*;
+use fault_control::{Fault, ALWAYS};
+use rig::{answer_bytes, Delivery, Rig, ScriptedDiscovery, DRAIN_GRACE};
+
+/// Time after which a change counts as notified, whether it arrives or not.
+const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
+/// Time by which a call that failed must be repeated so that a lost drain takes effect within the drain grace,
+/// although the process stalls for 0.15 s.
+const REPEATED_WITHIN: Duration = Duration::from_millis(100);
+
+/// What discovery does to all calls from some moment on.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Silent,
+    Unavailable,
+    Disconnects,
+    PartialAnswers,
+    MalformedLists,
+}
+
+impl Trouble {
+    fn name(self) -> String {
+        format!("{self:?}")
+    }
+
+    /// Treats calls so for as long as the program makes them; ends when `stop` is received, with the call
+    /// after that.
+    fn run(self, rig_calls: &ScriptedDiscovery, stop: &Receiver<()>) {
+        let mut held = Vec::new();
+        while stop.try_recv().is_err() {
+            let Ok(mut call) = rig_calls.calls.recv_timeout(Duration::from_millis(20)) else { continue };
+            match self {
+                Trouble::Silent => held.push(call),
+                Trouble::Unavailable => call.answer_unavailable(),
+                Trouble::Disconnects => call.disconnect(),
+                Trouble::PartialAnswers => {
+                    call.write(b"HTTP/1.1 200 OK\r\nContent-Le");
+                    held.push(call);
+                }
+                Trouble::MalformedLists => call.answer("{\"seq\":9,\"whole\":tr"),
+            }
+        }
+    }
+}
+
+/// Answers each call with the same list, until `stop` is received.
+fn serve(discovery: &ScriptedDiscovery, list: &str, stop: &Receiver<()>) {
+    while stop.try_recv().is_err() {
+        if let Ok(call) = discovery.calls.recv_timeout(Duration::from_millis(20)) {
+            call.answer(list);
+        }
+    }
+}
+
+/// Runs a coordinator whose discovery has answered once and is then in trouble. Returns how long after the last
+/// answer the last part was sent.
+fn last_part_in_trouble(trouble: Trouble, delivery: Delivery, watched_for: Duration) -> Duration {
+    let mut rig = Rig::start(&format!("{}-{delivery:?}", trouble.name()), delivery);
+    let first = rig.discovery.next();
+    let list = rig.list(2, true, "up");
+    first.answer(&list);
+    rig.program.wait_for_log("entries: 1, whole: true, seq: 2");
+    rig.query_until(200);
+    // A drain that discovery has from here on does not arrive.
+    let changed_at = Instant::now();
+    let (stop, stopped) = channel();
+    let discovery = std::mem::replace(&mut rig.discovery, ScriptedDiscovery::start());
+    let troubled = std::thread::spawn(move || {
+        trouble.run(&discovery, &stopped);
+        discovery
+    });
+    while changed_at.elapsed() < watched_for {
+        rig.query();
+    }
+    let last_part = rig.last_part().expect("a part before the trouble");
+    stop.send(()).expect("running");
+    let discovery = troubled.join().expect("no panic");
+    // The next answer brings the service back.
+    let list = rig.list(3, true, "up");
+    let (stop, stopped) = channel();
+    let serving = std::thread::spawn(move || serve(&discovery, &list, &stopped));
+    rig.query_until(200);
+    stop.send(()).expect("running");
+    serving.join().expect("no panic");
+    last_part.saturating_duration_since(changed_at)
+}
+
+/// Guards against parts sent to a data node whose drain was missed because calls fell silent or failed (issue 61).
+#[test]
+fn a_polled_list_is_not_used_once_a_missed_drain_counts_as_notified() {
+    let troubles = [
+        Trouble::Silent,
+        Trouble::Unavailable,
+        Trouble::Disconnects,
+        Trouble::PartialAnswers,
+        Trouble::MalformedLists,
+    ];
+    let watched_for = NOTIFIED_WITHIN + DRAIN_GRACE + Duration::from_millis(700);
+    let runs = troubles.map(|trouble| {
+        (trouble, std::thread::spawn(move || last_part_in_trouble(trouble, Delivery::Polled, watched_for)))
+    });
+    for (trouble, run) in runs {
+        let after = run.join().unwrap_or_else(|_| panic!("{trouble:?}"));
+        assert!(after < NOTIFIED_WITHIN + DRAIN_GRACE, "{trouble:?}: a part {after:?} after the drain");
+    }
+}
+
+/// Guards against parts sent by the list of an agent that no longer answers: what it has counts as notified at
+/// once.
+#[test]
+fn a_pushed_list_is_not_used_while_its_agent_does_not_answer() {
+    let troubles = [Trouble::Silent, Trouble::Unavailable, Trouble::Disconnects, Trouble::PartialAnswers];
+    let watched_for = DRAIN_GRACE + Duration::from_millis(700);
+    let runs = troubles.map(|trouble| {
+        (trouble, std::thread::spawn(move || last_part_in_trouble(trouble, Delivery::Pushed, watched_for)))
+    });
+    for (trouble, run) in runs {
+        let after = run.join().unwrap_or_else(|_| panic!("{trouble:?}"));
+        assert!(after < DRAIN_GRACE, "{trouble:?}: a part {after:?} after the drain");
+    }
+}
+
+/// Guards against parts sent before an agent has told what it has, which counts as notified from the first
+/// moment of a process.
+#[test]
+fn nothing_is_sent_by_the_known_list_while_the_agent_is_silent_from_the_start() {
+    let mut rig = Rig::start("start", Delivery::Pushed);
+    rig.program.wait_for_log("no list from discovery yet");
+    rig.reconnect();
+    assert_eq!(rig.query(), 503);
+    assert_eq!(rig.last_part(), None);
+}
+
+/// Guards against the pause after a lost answer (soak seeds 4 and 42): discovery wrote a drain, and the read of it
+/// failed.
+#[test]
+fn a_call_whose_answer_is_lost_is_repeated_at_once_and_nothing_is_sent_before_its_answer() {
+    let mut plan = None;
+    let mut rig = Rig::start_with("lost", Delivery::Polled, |folder, _| {
+        let armed = plan.insert(fault_plan(folder, 1));
+        armed.spare_accepted_connections().expect("written");
+        Program::start_with_faults(folder, armed)
+    });
+    let plan = plan.expect("created");
+    rig.discovery.next().answer(&rig.list(2, true, "up"));
+    rig.query_until(200);
+    rig.last_part();
+    let call = rig.discovery.next();
+    plan.arm(Fault::ReceiveTimedOut, ALWAYS, 1).expect("armed");
+    call.answer(&rig.list(3, false, "draining"));
+    let written_at = Instant::now();
+    let repeated = rig.discovery.next();
+    assert_eq!(plan.fired(Fault::ReceiveTimedOut).expect("read"), 1);
+    assert!(repeated.head.contains("index=2"), "the drain was not lost: {}", repeated.head);
+    let pause = repeated.received_at - written_at;
+    assert!(pause < REPEATED_WITHIN, "{pause:?}");
+    assert_eq!(rig.query(), 503);
+    assert_eq!(rig.last_part(), None, "a part to a data node whose drain was written");
+    repeated.answer(&rig.list(3, false, "up"));
+    rig.query_until(200);
+}
+
+/// Guards against an answer that arrives in part, and then nothing: discovery may have written all of it.
+#[test]
+fn nothing_is_sent_while_an_answer_is_incomplete_for_longer_than_the_grace_allows() {
+    let mut rig = Rig::start("partial", Delivery::Polled);
+    rig.discovery.next().answer(&rig.list(2, true, "up"));
+    rig.query_until(200);
+    let mut call = rig.discovery.next();
+    let answer = answer_bytes(&rig.list(3, false, "draining"));
+    let (begin, end) = answer.as_bytes().split_at(answer.len() / 2);
+    call.write(begin);
+    let written_at = Instant::now();
+    rig.query_while_before(written_at + Duration::from_secs(1), 503);
+    let last_part = rig.last_part().expect("a part");
+    let after = last_part.saturating_duration_since(written_at);
+    assert!(after < DRAIN_GRACE, "a part {after:?} after the drain was written");
+    call.write(end);
+    rig.program.wait_for_log("entries: 1, whole: false, seq: 3");
+    assert_eq!(rig.query(), 503);
+    assert_eq!(rig.last_part(), None);
+}
+
+/// Guards against a drain that the previous address wrote while a reload moved the watch to a new address that
+/// has not answered yet.
+#[test]
+fn a_drain_from_the_previous_address_takes_effect_until_the_new_address_has_answered() {
+    let mut rig = Rig::start("moved", Delivery::Polled);
+    rig.discovery.next().answer(&rig.list(2, true, "up"));
+    rig.query_until(200);
+    rig.last_part();
+    let previous_call = rig.discovery.next();
+    let new = ScriptedDiscovery::start();
+    replace_in_configuration(&rig.folder, &rig.discovery.address.to_string(), &new.address.to_string());
+    rig.program.signal("-HUP");
+    let new_call = new.next();
+    assert!(new_call.requests_complete_list(), "{}", new_call.head);
+    previous_call.answer(&rig.list(3, false, "draining"));
+    rig.program.wait_for_log("entries: 1, whole: false, seq: 3");
+    assert_eq!(rig.query(), 503);
+    assert_eq!(rig.last_part(), None, "a part to a draining data node");
+    new_call.answer(&rig.list(1, true, "up"));
+    rig.query_until(200);
+    // From here on the previous address is ignored.
+    let ignored = rig.discovery.calls.recv_timeout(Duration::from_millis(1));
+    if let Ok(call) = ignored {
+        call.answer(&rig.list(4, false, "draining"));
+    }
+    let next = new.next();
+    assert!(next.head.contains("index=1"), "{}", next.head);
+    assert_eq!(rig.query(), 200);
+}
+
+/// Guards against rejections in the short gap in which an agent's next answer is late.
+#[test]
+fn a_part_waits_for_a_list_that_arrives_just_after_the_last_one_expired() {
+    let mut rig = Rig::start("waits", Delivery::Pushed);
+    let list = rig.list(2, true, "up");
+    rig.discovery.next().answer(&list);
+    rig.query_until(200);
+    // The agent misses one call and answers the next one, when its last answer is no longer valid.
+    let silent = rig.discovery.next();
+    let next = rig.discovery.next();
+    rig.last_part();
+    std::thread::scope(|scope| {
+        let list = rig.list(3, true, "up");
+        scope.spawn(move || next.answer(&list));
+        assert_eq!(rig.query(), 200);
+    });
+    drop(silent);
+}
