Send no health check to a search server that began to drain meanwhile

The query API's health check looked at the server's state, then connected (up to 0.25 s), then wrote its request; docs/query-api.md says that a server whose records are withdrawn, or that is marked draining, gets nothing new. The state is looked at again right before the write.

--- a/src/net/opensearch/servers.rs
+++ b/src/net/opensearch/servers.rs
@@ -231,8 +231,13 @@
     async fn health_check(self: Rc<Self>, replica: ReplicaId) -> (bool, Option<LoadReport>) {
         let deadline = Instant::now() + MAX_PROBE_TIME;
         let probe = async {
-            let (address, _) = self.ready(replica)?;
+            let ready = self.ready(replica)?;
+            let (address, _) = ready;
             let mut lease = self.connections.open(replica, address).await.ok()?;
+            // The server may have started to drain while the connection was established.
+            if self.ready(replica) != Some(ready) {
+                return None;
+            }
             let request = format!("GET / HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
             lease.send(request.as_bytes()).await.ok()?;
             lease.read_answer(NO_REQUEST_ID).await.ok().map(|answer| answer.message.status)
