Play silent, slow and lost answers of discovery in the soak, and check missed drains

It now hangs (with a drain right after; in one run of four for 7.5 s, so that the drain counts as notified without having arrived), writes answers in pieces, loses every second one half way, and handles calls in turn.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod coordinator;
 mod crowd;
 mod discovery;
+mod missed_drains;
 mod oracle;
 mod record;
 mod schedule;
@@ -31,13 +32,19 @@
 
 use clients::Client;
 use coordinator::{Coordinator, Start, StopSignals};
-use discovery::Discovery;
+use discovery::{AnswerFaults, Discovery};
 use record::{Event, EventLog};
-use schedule::{crowd_target, plan_disruptions, Disruption, PlannedDisruption, FAULTS, PAUSE_DURATION};
+use schedule::{
+    crowd_target, hangs_for_long, plan_disruptions, Disruption, PlannedDisruption, FAULTS, PAUSE_DURATION,
+};
 use servers::Node;
 
 const NODES: usize = 6;
 const CLIENTS: usize = 3;
+/// The time from the start of a hang of discovery until a data node drains, and the time for which it continues
+/// to drain after the hang.
+const DRAIN_AFTER_HANG: Duration = Duration::from_millis(30);
+const DRAIN_BEYOND_HANG: Duration = Duration::from_millis(400);
 
 /// The size of a run, configured by environment variables.
 struct Size {
@@ -139,6 +146,9 @@
         answered: count(&|event| matches!(event, Event::Answered { status: 200, .. })),
         disruption_counts: disruption_counts(&nodes, &discovery, &coordinators, &events)
             .into_iter()
+            .chain(hangs_for_long(seed).then(|| {
+                ("missed drains that count as notified".to_owned(), missed_drains::notified(&events))
+            }))
             .chain(crowd_target(seed).map(|_| ("connections of a crowd".to_owned(), crowds.into_inner())))
             .collect(),
     }
@@ -154,10 +164,11 @@
     let of_all = |of: fn(&Coordinator) -> u64| coordinators.iter().map(of).sum();
     let counted = |of: fn(&Event) -> bool| events.iter().filter(|(_, event)| of(event)).count() as u64;
     let ended = counted(|event| matches!(event, Event::Ended { .. }));
-    let disruptions: [(&str, u64); 12] = [
+    let disruptions: [(&str, u64); 13] = [
         ("hung parts", of_nodes(|n| &n.hung)),
         ("reset connections", of_nodes(|n| &n.resets)),
         ("calls to a discovery that is down", discovery.refused.load(Ordering::SeqCst)),
+        ("calls that discovery left silent", discovery.silent.load(Ordering::SeqCst)),
         ("drains announced", counted(|event| matches!(event, Event::DrainListed { drains: true, .. }))),
         ("starts announced", counted(|event| matches!(event, Event::StartListed { .. }))),
         ("pauses of accepting", of_nodes(|n| &n.pauses)),
@@ -169,11 +180,14 @@
         // Each coordinator also ends once at the end of the run.
         ("restarts", ended - coordinators.len() as u64),
     ];
+    let answers = AnswerFaults::ALL
+        .into_iter()
+        .map(|fault| (format!("answers {fault:?}"), discovery.answer_faults.fired(fault)));
     let calls = FAULTS.iter().map(|(fault, _)| {
         let fired = coordinators.iter().map(|c| c.plan.fired(*fault).expect("read")).sum();
         (format!("{fault:?}"), fired)
     });
-    disruptions.iter().map(|(name, n)| ((*name).to_owned(), *n)).chain(calls).collect()
+    disruptions.iter().map(|(name, n)| ((*name).to_owned(), *n)).chain(answers).chain(calls).collect()
 }
 
 /// Everything that disruptions act on.
@@ -221,6 +235,7 @@
             Disruption::NodeAcceptsLate { node } => nodes[node].pause_accepting(planned.duration),
             Disruption::NodeRestarts { node } => discovery.restart(&nodes[node]),
             Disruption::NodeDrains { node } => {
+                discovery.wait_until_up();
                 discovery.drain(&nodes[node], true);
                 wait();
                 discovery.drain(&nodes[node], false);
@@ -230,6 +245,21 @@
                 wait();
                 discovery.set_down(false);
             }
+            Disruption::DiscoveryHangs { node } => {
+                discovery.set_hangs(true);
+                std::thread::sleep(DRAIN_AFTER_HANG);
+                discovery.drain(&nodes[node], true);
+                wait();
+                discovery.set_hangs(false);
+                std::thread::sleep(DRAIN_BEYOND_HANG);
+                discovery.drain(&nodes[node], false);
+            }
+            Disruption::AnswersFail { fault } => {
+                discovery.answer_faults.set(fault, true);
+                wait();
+                discovery.answer_faults.wait_until_fired(fault);
+                discovery.answer_faults.set(fault, false);
+            }
             Disruption::Crowd { coordinator } => {
                 let established =
                     crowd::run(&all[coordinator], coordinator, planned.duration, self.event_log);
--- a/tests/soak/oracle.rs
+++ b/tests/soak/oracle.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use crate::coordinator::MEMORY_KB;
+use crate::missed_drains;
 use crate::record::{coordinator_of, query_of, Effect, Event, TimedEvent};
 use crate::slow_start;
 
 /// The delay that a busy test machine may add to any time.
-const MACHINE_DELAY: Duration = Duration::from_millis(250);
+pub const MACHINE_DELAY: Duration = Duration::from_millis(250);
 /// The time by which an answer may exceed the query's deadline.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
 /// The time by which the timeout sent with an attempt may exceed the time left.
@@ -16,7 +17,7 @@
 /// The time after the client's disconnect, or after the end of the query, until which an attempt may start.
 const CANCEL_GRACE: Duration = Duration::from_millis(150);
 /// The time after the announcement of a drain until which a send may start.
-const DRAIN_GRACE: Duration = Duration::from_millis(300);
+pub const DRAIN_GRACE: Duration = Duration::from_millis(300);
 /// The maximum time from SIGTERM to the end of a process: the longest deadline, which counts as 3 s, plus
 /// 0.7 s.
 const MAX_END_MS: u64 = 3700;
@@ -53,6 +54,7 @@
     check_attempts(events, &queries, &mut errors);
     check_values(events, &mut errors);
     check_drains(events, &mut errors);
+    missed_drains::check(events, &mut errors);
     slow_start::check(events, &mut errors);
     for (_, event) in events {
         match event {
@@ -281,6 +283,19 @@
             run.insert(0, (start, Event::DrainListed { coordinator: 0, node: 0, drains: true }));
             run[3] = (start + ms(700), began(start + ms(700)));
         });
+        detects("missed drain", |run, start| {
+            let started = start + ms(1);
+            run.insert(0, (start, Event::Started { coordinator: 0 }));
+            run.insert(1, (started, Event::DiscoveryHangs { hangs: true }));
+            run.insert(2, (start + ms(900), Event::DrainMade { node: 0, drains: true }));
+            run.push((start + ms(6600), began(start + ms(6600))));
+        });
+        detects("missed drain", |run, start| {
+            run.insert(0, (start, Event::DiscoveryDown { down: true }));
+            run.insert(1, (start, Event::DrainMade { node: 0, drains: true }));
+            run.insert(2, (start + ms(100), Event::DiscoveryDown { down: false }));
+            run.push((start + ms(6700), began(start + ms(6700))));
+        });
         detects("memory", |run, start| {
             run.push((start, Event::PeakMemory { coordinator: 0, kb: MEMORY_KB }))
         });
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -54,6 +54,19 @@
         node: usize,
         drains: bool,
     },
+    /// Discovery has a new state of a data node, whether it is announced or not.
+    DrainMade {
+        node: usize,
+        drains: bool,
+    },
+    /// Discovery stops answering calls, or answers them again.
+    DiscoveryHangs {
+        hangs: bool,
+    },
+    /// Discovery goes down or returns.
+    DiscoveryDown {
+        down: bool,
+    },
     /// Discovery announced to a coordinator that a data node has started.
     StartListed {
         coordinator: usize,
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::coordinator::StopSignals;
+use crate::discovery::{AnswerFault, AnswerFaults};
 
 /// The system call faults that a run injects, each in a window of its own, with the number of affected
 /// calls per thousand.
@@ -33,6 +34,11 @@
 /// One run out of this number has a crowd.
 const RUNS_PER_CROWD: u64 = 3;
 
+/// One run out of this number has a long hang of discovery.
+const RUNS_PER_LONG_HANG: u64 = 4;
+/// The duration of a long hang.
+const LONG_HANG: Duration = Duration::from_millis(7500);
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Disruption {
     Restart {
@@ -77,6 +83,13 @@
         node: usize,
     },
     DiscoveryDown,
+    /// Discovery does not answer any more, and a data node drains right after.
+    DiscoveryHangs {
+        node: usize,
+    },
+    AnswersFail {
+        fault: AnswerFault,
+    },
     /// Many more connections than there are file descriptors, both idle and busy ones.
     Crowd {
         coordinator: usize,
@@ -96,6 +109,12 @@
     seed.is_multiple_of(RUNS_PER_CROWD).then_some(0)
 }
 
+/// Returns whether discovery hangs for so long, in the run of a seed, that what it does not tell counts as
+/// notified.
+pub fn hangs_for_long(seed: u64) -> bool {
+    seed % RUNS_PER_LONG_HANG == 2
+}
+
 /// Draws the random choices of a schedule.
 struct ScheduleGenerator {
     random: Pcg64Mcg,
@@ -184,12 +203,16 @@
     let mut disruptions: Vec<Disruption> = FAULTS.into_iter().map(fails).collect();
     disruptions.extend(generator.single_disruptions());
     disruptions.extend(generator.repeated_disruptions());
+    disruptions.push(Disruption::DiscoveryHangs { node: generator.node() });
+    disruptions.extend(AnswerFaults::ALL.map(|fault| Disruption::AnswersFail { fault }));
     disruptions.extend(crowd_target(seed).map(|coordinator| Disruption::Crowd { coordinator }));
     let mut planned: Vec<PlannedDisruption> = disruptions
         .into_iter()
         .map(|disruption| {
             let at = Duration::from_millis(300 + generator.millis(span.as_millis() as usize - 300));
             let duration = Duration::from_millis(500 + generator.millis(1000));
+            let is_long = hangs_for_long(seed) && matches!(disruption, Disruption::DiscoveryHangs { .. });
+            let duration = if is_long { LONG_HANG } else { duration };
             PlannedDisruption { at, duration, disruption }
         })
         .collect();
