Share the scripted discovery of the tests, and stall a process as its list expires

tests/discovery.rs and tests/stale_lists had a discovery of the same kind each; it is one file now. The new test lets an agent fall silent and stops the process for 0.15 s at six moments around the end of the list's validity.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 mod program_path;
+pub mod scripted_discovery;
 
 use fault_control::{Plan, PLAN_VARIABLE};
 use marlgap::balancer::interface::{Class, ClassId, Idempotency, ShardId, TenantId};
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -2,81 +2,18 @@
 //! polls again, what an invalid list changes, and when it is ready.
 mod common;
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
+use common::scripted_discovery::ScriptedDiscovery;
 use common::*;
 
-/// A received call for the list.
-struct Call {
-    received_at: Instant,
-    connection: usize,
-    head: String,
-    stream: TcpStream,
-}
-
-impl Call {
-    fn requests_complete_list(&self) -> bool {
-        self.head.starts_with("GET /catalog/members HTTP")
-    }
-
-    fn bytes(mut self, bytes: &[u8]) {
-        // The program may have closed the connection meanwhile.
-        let _ = self.stream.write_all(bytes);
-    }
-
-    fn answer(self, body: &str) {
-        self.bytes(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).as_bytes());
-    }
-
-    fn answer_unavailable(self) {
-        self.bytes(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-    }
-
-    fn disconnect(self) {
-        self.stream.shutdown(std::net::Shutdown::Both).expect("shut");
-    }
-}
-
-struct DiscoveryStub {
-    address: SocketAddr,
-    calls: Receiver<Call>,
-}
-
-impl DiscoveryStub {
-    fn start() -> DiscoveryStub {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
-        let (address, (send, calls)) = (listener.local_addr().expect("bound"), channel());
-        std::thread::spawn(move || {
-            for (connection, mut stream) in listener.incoming().map_while(Result::ok).enumerate() {
-                let send = send.clone();
-                std::thread::spawn(move || {
-                    while let Some(head) = read_http(&mut stream) {
-                        let stream = stream.try_clone().expect("another handle");
-                        if send.send(Call { received_at: Instant::now(), connection, head, stream }).is_err()
-                        {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        DiscoveryStub { address, calls }
-    }
-
-    fn next(&self) -> Call {
-        self.calls.recv_timeout(TEST_TIMEOUT).expect("a call")
-    }
-}
-
 fn list(seq: u32, whole: bool, hosts: &str) -> String {
     format!("{{\n  \"seq\": {seq},\n  \"whole\": {whole},\n  \"hosts\": [\n    {hosts}\n  ]\n}}\n")
 }
 
-fn folder(name: &str, discovery: &DiscoveryStub, pushed: bool) -> PathBuf {
+fn folder(name: &str, discovery: &ScriptedDiscovery, pushed: bool) -> PathBuf {
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
     let folder = write_configuration(&format!("discovery-{name}"), &[nowhere], discovery.address, 1, 75);
     if pushed {
@@ -101,7 +38,7 @@
 /// immediately.
 #[test]
 fn an_agent_is_polled_from_the_start_and_its_first_list_makes_the_process_ready() {
-    let agent = DiscoveryStub::start();
+    let agent = ScriptedDiscovery::start();
     let program = Program::start(&folder("agent", &agent, true), false);
     let first = agent.next();
     assert!(first.requests_complete_list(), "{}", first.head);
@@ -121,7 +58,7 @@
 
 #[test]
 fn an_agent_that_answers_early_is_polled_at_a_limited_rate() {
-    let agent = DiscoveryStub::start();
+    let agent = ScriptedDiscovery::start();
     let _program = Program::start(&folder("pace", &agent, true), false);
     agent.next().answer(&list(5, true, &node("up")));
     let first = agent.next();
@@ -144,21 +81,25 @@
 /// Everything that the agent receives when discovery returns counts as notified immediately.
 #[test]
 fn an_agent_that_is_silent_or_fails_is_polled_again_within_the_drain_grace() {
-    let agent = DiscoveryStub::start();
+    let agent = ScriptedDiscovery::start();
     let program = Program::start(&folder("hush", &agent, true), false);
     agent.next().answer(&list(5, true, &node("up")));
-    let mut held = vec![agent.next()];
+    let first = agent.next();
+    let mut held = vec![first.received_at];
+    let mut open = vec![first];
     let mut gaps = Vec::new();
     for turn in 0..12 {
-        let call = agent.next();
-        gaps.push(call.received_at - held.last().expect("one").received_at);
-        let handle = Call { stream: call.stream.try_clone().expect("another"), head: String::new(), ..call };
-        held.push(handle);
+        let mut call = agent.next();
+        gaps.push(call.received_at - *held.last().expect("one"));
+        held.push(call.received_at);
         match turn % 4 {
             0 => call.answer_unavailable(),
             1 => call.disconnect(),
-            2 => call.bytes(b"HTTP/1.1 200 OK\r\nContent-Le"),
-            _ => {}
+            2 => {
+                call.write(b"HTTP/1.1 200 OK\r\nContent-Le");
+                open.push(call);
+            }
+            _ => open.push(call),
         }
     }
     // On a busy machine, single gaps may be longer.
@@ -174,7 +115,7 @@
 /// allow any polling time.
 #[test]
 fn the_backoff_after_failed_calls_stays_within_the_notification_time() {
-    let discovery = DiscoveryStub::start();
+    let discovery = ScriptedDiscovery::start();
     let folder = folder("pauses", &discovery, false);
     replace_in_configuration(&folder, "\"AskWithinS\":10.0", "\"Other\":1");
     let _program = Program::start(&folder, false);
@@ -199,7 +140,7 @@
 /// A watch continues only if its next call is made within 200 ms.
 #[test]
 fn a_connection_closed_between_two_calls_is_followed_by_a_new_one_at_once() {
-    let discovery = DiscoveryStub::start();
+    let discovery = ScriptedDiscovery::start();
     let _program = Program::start(&folder("between", &discovery, false), false);
     let mut gaps = Vec::new();
     for seq in 2..7 {
@@ -209,7 +150,7 @@
         let (answered, call) = (Instant::now(), discovery.next());
         assert_eq!(call.connection, first_connection);
         call.disconnect();
-        let call = discovery.next();
+        let mut call = discovery.next();
         assert!(
             call.connection > first_connection && call.head.contains(&format!("?index={seq}&")),
             "{}",
@@ -219,7 +160,7 @@
         // This answer announces the close.
         let body = list(seq, false, "");
         let head = format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", body.len());
-        call.bytes((head + &body).as_bytes());
+        call.write((head + &body).as_bytes());
     }
     gaps.sort();
     assert!(gaps[2] < Duration::from_millis(200), "{gaps:?}");
@@ -227,7 +168,7 @@
 
 #[test]
 fn changes_of_an_older_version_are_ignored_and_the_complete_list_is_requested() {
-    let discovery = DiscoveryStub::start();
+    let discovery = ScriptedDiscovery::start();
     let program = Program::start(&folder("back", &discovery, false), false);
     program.wait_for_log("entries: 1, whole: true, seq: 1");
     discovery.next().answer(&list(9, false, &node("draining")));
@@ -243,7 +184,7 @@
 
 #[test]
 fn a_drain_takes_effect_even_with_an_invalid_address() {
-    let discovery = DiscoveryStub::start();
+    let discovery = ScriptedDiscovery::start();
     let program = Program::start(&folder("address", &discovery, false), false);
     program.wait_for_log("entries: 1, whole: true, seq: 1");
     let with_invalid_address = |health: &str| node(health).replace("127.0.0.1:9", "nowhere");
@@ -255,7 +196,7 @@
 
 #[test]
 fn a_reload_with_the_same_address_keeps_the_watch() {
-    let discovery = DiscoveryStub::start();
+    let discovery = ScriptedDiscovery::start();
     let program = Program::start(&folder("same", &discovery, false), false);
     let call = discovery.next();
     for _ in 0..2 {
@@ -271,7 +212,7 @@
 /// The restart that was requested meanwhile has been done by then, and a later failure waits for its own.
 #[test]
 fn an_address_change_while_a_failed_watch_waits_leaves_no_pending_restart() {
-    let (old, new) = (DiscoveryStub::start(), DiscoveryStub::start());
+    let (old, new) = (ScriptedDiscovery::start(), ScriptedDiscovery::start());
     let folder = folder("moves", &old, false);
     let program = Program::start(&folder, false);
     old.next().answer_unavailable();
@@ -300,7 +241,7 @@
 /// Nine in ten restarted processes must be ready within ten seconds, even if discovery is down.
 #[test]
 fn without_any_list_the_process_is_ready_in_time_and_rejects_until_one_arrives() {
-    let discovery = DiscoveryStub::start();
+    let discovery = ScriptedDiscovery::start();
     let folder = folder("empty", &discovery, false);
     remove_known_list(&folder);
     let started = Instant::now();
@@ -328,7 +269,7 @@
 
 #[test]
 fn with_a_silent_agent_the_process_is_ready_with_the_known_list_in_time() {
-    let agent = DiscoveryStub::start();
+    let agent = ScriptedDiscovery::start();
     let started = Instant::now();
     let program = Program::start(&folder("known", &agent, true), false);
     assert_eq!(health(&program), 503);
@@ -344,7 +285,7 @@
 /// for reading the configuration.
 #[test]
 fn with_all_descriptors_held_by_clients_discovery_is_reachable_and_reloadable() {
-    let (old, new) = (DiscoveryStub::start(), DiscoveryStub::start());
+    let (old, new) = (ScriptedDiscovery::start(), ScriptedDiscovery::start());
     let folder = folder("descriptors", &old, false);
     replace_in_configuration(&folder, "\"sockets\":1024", "\"sockets\":64");
     let program = Program::start_with_descriptor_limit(&folder, 64);
--- a/tests/stale_lists/main.rs
+++ b/tests/stale_lists/main.rs
@@ -5,12 +5,14 @@
 mod lease;
 mod rig;
 
+use std::process::Command;
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
+use common::scripted_discovery::{answer_bytes, ScriptedDiscovery};
 use common::*;
 use fault_control::{Fault, ALWAYS};
-use rig::{answer_bytes, Delivery, Rig, ScriptedDiscovery, DRAIN_GRACE};
+use rig::{Delivery, Rig, DRAIN_GRACE};
 
 /// Time after which a change counts as notified, whether it arrives or not.
 const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
@@ -64,7 +66,7 @@
 
 /// Runs a coordinator whose discovery has answered once and is then in trouble. Returns how long after the last
 /// answer the last part was sent.
-fn last_part_in_trouble(trouble: Trouble, delivery: Delivery, watched_for: Duration) -> Duration {
+fn last_send_in_trouble(trouble: Trouble, delivery: Delivery, watched_for: Duration) -> Duration {
     let mut rig = Rig::start(&format!("{}-{delivery:?}", trouble.name()), delivery);
     let first = rig.discovery.next();
     let list = rig.list(2, true, "up");
@@ -82,7 +84,7 @@
     while changed_at.elapsed() < watched_for {
         rig.query();
     }
-    let last_part = rig.last_part().expect("a part before the trouble");
+    let last_send = rig.last_send().expect("a part before the trouble");
     stop.send(()).expect("running");
     let discovery = troubled.join().expect("no panic");
     // The next answer brings the service back.
@@ -92,7 +94,7 @@
     rig.query_until(200);
     stop.send(()).expect("running");
     serving.join().expect("no panic");
-    last_part.saturating_duration_since(changed_at)
+    last_send.saturating_duration_since(changed_at)
 }
 
 /// Guards against parts sent to a data node whose drain was missed because calls fell silent or failed (issue 61).
@@ -107,7 +109,7 @@
     ];
     let watched_for = NOTIFIED_WITHIN + DRAIN_GRACE + Duration::from_millis(700);
     let runs = troubles.map(|trouble| {
-        (trouble, std::thread::spawn(move || last_part_in_trouble(trouble, Delivery::Polled, watched_for)))
+        (trouble, std::thread::spawn(move || last_send_in_trouble(trouble, Delivery::Polled, watched_for)))
     });
     for (trouble, run) in runs {
         let after = run.join().unwrap_or_else(|_| panic!("{trouble:?}"));
@@ -122,7 +124,7 @@
     let troubles = [Trouble::Silent, Trouble::Unavailable, Trouble::Disconnects, Trouble::PartialAnswers];
     let watched_for = DRAIN_GRACE + Duration::from_millis(700);
     let runs = troubles.map(|trouble| {
-        (trouble, std::thread::spawn(move || last_part_in_trouble(trouble, Delivery::Pushed, watched_for)))
+        (trouble, std::thread::spawn(move || last_send_in_trouble(trouble, Delivery::Pushed, watched_for)))
     });
     for (trouble, run) in runs {
         let after = run.join().unwrap_or_else(|_| panic!("{trouble:?}"));
@@ -130,6 +132,50 @@
     }
 }
 
+/// Guards against a send that is checked before a process stalls and written after it: agents fall silent, and
+/// the process stalls for 0.15 s at different moments around the end of the list's validity.
+#[test]
+fn a_stalled_process_sends_nothing_by_a_list_that_is_no_longer_valid() {
+    let stalls = [10, 30, 50, 70, 90, 110].map(Duration::from_millis);
+    let runs = stalls
+        .map(|stall_after| (stall_after, std::thread::spawn(move || last_send_with_stall(stall_after))));
+    for (stall_after, run) in runs {
+        let after = run.join().unwrap_or_else(|_| panic!("{stall_after:?}"));
+        assert!(after < DRAIN_GRACE, "stall after {stall_after:?}: a part {after:?} after the drain");
+    }
+}
+
+/// Runs a coordinator whose agent falls silent, and which stalls `stall_after` the first silent call. Returns how
+/// long after the agent's last answer the last part was sent.
+fn last_send_with_stall(stall_after: Duration) -> Duration {
+    const STALL: Duration = Duration::from_millis(150);
+    let mut rig = Rig::start(&format!("stall-{}", stall_after.as_millis()), Delivery::Pushed);
+    let list = rig.list(2, true, "up");
+    let (stop, stopped) = channel();
+    let discovery = std::mem::replace(&mut rig.discovery, ScriptedDiscovery::start());
+    let serving = std::thread::spawn(move || {
+        serve(&discovery, &list, &stopped);
+        discovery
+    });
+    rig.query_until(200);
+    let program = rig.program.child.id().to_string();
+    let signal = move |name: &str| {
+        assert!(Command::new("kill").args([name, &program]).status().expect("kill runs").success());
+    };
+    stop.send(()).expect("running");
+    let _silent = serving.join().expect("no panic");
+    let changed_at = Instant::now();
+    let stalling = std::thread::spawn(move || {
+        std::thread::sleep(stall_after);
+        signal("-STOP");
+        std::thread::sleep(STALL);
+        signal("-CONT");
+    });
+    rig.query_while_before(changed_at + 3 * DRAIN_GRACE, 503);
+    stalling.join().expect("no panic");
+    rig.last_send().expect("a part before the silence").saturating_duration_since(changed_at)
+}
+
 /// Guards against parts sent before an agent has told what it has, which counts as notified from the first
 /// moment of a process.
 #[test]
@@ -138,7 +184,7 @@
     rig.program.wait_for_log("no list from discovery yet");
     rig.reconnect();
     assert_eq!(rig.query(), 503);
-    assert_eq!(rig.last_part(), None);
+    assert_eq!(rig.last_send(), None);
 }
 
 /// Guards against the pause after a lost answer (soak seeds 4 and 42): discovery wrote a drain, and the read of it
@@ -154,7 +200,7 @@
     let plan = plan.expect("created");
     rig.discovery.next().answer(&rig.list(2, true, "up"));
     rig.query_until(200);
-    rig.last_part();
+    rig.last_send();
     let call = rig.discovery.next();
     plan.arm(Fault::ReceiveTimedOut, ALWAYS, 1).expect("armed");
     call.answer(&rig.list(3, false, "draining"));
@@ -165,7 +211,7 @@
     let pause = repeated.received_at - written_at;
     assert!(pause < REPEATED_WITHIN, "{pause:?}");
     assert_eq!(rig.query(), 503);
-    assert_eq!(rig.last_part(), None, "a part to a data node whose drain was written");
+    assert_eq!(rig.last_send(), None, "a part to a data node whose drain was written");
     repeated.answer(&rig.list(3, false, "up"));
     rig.query_until(200);
 }
@@ -182,13 +228,13 @@
     call.write(begin);
     let written_at = Instant::now();
     rig.query_while_before(written_at + Duration::from_secs(1), 503);
-    let last_part = rig.last_part().expect("a part");
-    let after = last_part.saturating_duration_since(written_at);
+    let last_send = rig.last_send().expect("a part");
+    let after = last_send.saturating_duration_since(written_at);
     assert!(after < DRAIN_GRACE, "a part {after:?} after the drain was written");
     call.write(end);
     rig.program.wait_for_log("entries: 1, whole: false, seq: 3");
     assert_eq!(rig.query(), 503);
-    assert_eq!(rig.last_part(), None);
+    assert_eq!(rig.last_send(), None);
 }
 
 /// Guards against a drain that the previous address wrote while a reload moved the watch to a new address that
@@ -198,7 +244,7 @@
     let mut rig = Rig::start("moved", Delivery::Polled);
     rig.discovery.next().answer(&rig.list(2, true, "up"));
     rig.query_until(200);
-    rig.last_part();
+    rig.last_send();
     let previous_call = rig.discovery.next();
     let new = ScriptedDiscovery::start();
     replace_in_configuration(&rig.folder, &rig.discovery.address.to_string(), &new.address.to_string());
@@ -208,7 +254,7 @@
     previous_call.answer(&rig.list(3, false, "draining"));
     rig.program.wait_for_log("entries: 1, whole: false, seq: 3");
     assert_eq!(rig.query(), 503);
-    assert_eq!(rig.last_part(), None, "a part to a draining data node");
+    assert_eq!(rig.last_send(), None, "a part to a draining data node");
     new_call.answer(&rig.list(1, true, "up"));
     rig.query_until(200);
     // From here on the previous address is ignored.
@@ -231,7 +277,7 @@
     // The agent misses one call and answers the next one, when its last answer is no longer valid.
     let silent = rig.discovery.next();
     let next = rig.discovery.next();
-    rig.last_part();
+    rig.last_send();
     std::thread::scope(|scope| {
         let list = rig.list(3, true, "up");
         scope.spawn(move || next.answer(&list));
--- a/tests/stale_lists/rig.rs
+++ b/tests/stale_lists/rig.rs
@@ -1,83 +1,14 @@
 //! A coordinator with a scripted discovery, a data node that records when parts arrive, and a client that
 //! sends one query after the other.
 use std::io::Write;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
+use crate::common::scripted_discovery::ScriptedDiscovery;
 use crate::common::*;
 
-/// A received call for the list.
-pub struct Call {
-    pub received_at: Instant,
-    pub head: String,
-    stream: TcpStream,
-}
-
-impl Call {
-    pub fn requests_complete_list(&self) -> bool {
-        self.head.starts_with("GET /catalog/members HTTP")
-    }
-
-    /// Writes bytes, which may be a part of an answer.
-    pub fn write(&mut self, bytes: &[u8]) {
-        // The program may have closed the connection meanwhile.
-        let _ = self.stream.write_all(bytes);
-    }
-
-    pub fn answer(mut self, body: &str) {
-        self.write(answer_bytes(body).as_bytes());
-    }
-
-    pub fn answer_unavailable(mut self) {
-        self.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-    }
-
-    pub fn disconnect(self) {
-        let _ = self.stream.shutdown(Shutdown::Both);
-    }
-}
-
-pub fn answer_bytes(body: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-}
-
-/// A discovery that answers nothing by itself.
-pub struct ScriptedDiscovery {
-    pub address: SocketAddr,
-    pub calls: Receiver<Call>,
-}
-
-impl ScriptedDiscovery {
-    pub fn start() -> ScriptedDiscovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
-        let address = listener.local_addr().expect("bound");
-        let (send, calls) = channel();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let send = send.clone();
-                std::thread::spawn(move || receive_calls(stream, &send));
-            }
-        });
-        ScriptedDiscovery { address, calls }
-    }
-
-    pub fn next(&self) -> Call {
-        self.calls.recv_timeout(TEST_TIMEOUT).expect("a call")
-    }
-}
-
-fn receive_calls(mut stream: TcpStream, calls: &Sender<Call>) {
-    let _ = stream.set_nodelay(true);
-    while let Some(head) = read_http(&mut stream) {
-        let call = Call { received_at: Instant::now(), head, stream: stream.try_clone().expect("cloned") };
-        if calls.send(call).is_err() {
-            return;
-        }
-    }
-}
-
 /// Where lists come from.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Delivery {
@@ -91,8 +22,8 @@
     pub discovery: ScriptedDiscovery,
     pub folder: PathBuf,
     node: SocketAddr,
-    /// When the first byte of each part arrived.
-    parts: Receiver<Instant>,
+    /// When the first byte of each part and of each probe arrived.
+    sends: Receiver<Instant>,
     client: TcpStream,
     sent: u32,
 }
@@ -109,14 +40,16 @@
         start: impl FnOnce(&std::path::Path, bool) -> Program,
     ) -> Rig {
         let discovery = ScriptedDiscovery::start();
-        let (node, parts) = start_node();
+        let (node, sends) = start_node();
         let folder = write_configuration(&format!("stale-{name}"), &[node], discovery.address, 1, 75);
+        // Probes are sent as well, since load reports come with them.
+        replace_in_configuration(&folder, "\"How\":\"inline\"", "\"How\":\"on_probe\"");
         if delivery == Delivery::Pushed {
             replace_in_configuration(&folder, "\"Discovery\":\"ask\"", "\"Discovery\":\"push\"");
         }
         let program = start(&folder, false);
         let client = connect(program.address);
-        Rig { program, discovery, folder, node, parts, client, sent: 0 }
+        Rig { program, discovery, folder, node, sends, client, sent: 0 }
     }
 
     /// Returns a list of the only data node with the given state.
@@ -151,11 +84,11 @@
         while Instant::now() < latest && self.query() != status {}
     }
 
-    /// Returns when the last part arrived at the data node so far.
-    pub fn last_part(&self) -> Option<Instant> {
+    /// Returns when the last part or probe arrived at the data node so far.
+    pub fn last_send(&self) -> Option<Instant> {
         let mut last = None;
         loop {
-            match self.parts.try_recv() {
+            match self.sends.try_recv() {
                 Ok(at) => last = Some(at),
                 Err(_) => return last,
             }
@@ -174,11 +107,13 @@
             let send = send.clone();
             std::thread::spawn(move || {
                 while let Some((first, message)) = read_timed_frame(&mut stream) {
-                    let Some(id) = message.strip_prefix("q ").and_then(|m| m.split(' ').next()) else {
-                        continue;
+                    let part_id = message.strip_prefix("q ").and_then(|m| m.split(' ').next());
+                    let answer = match part_id {
+                        Some(id) => frame(&format!("a {id} served 1 -\nV")),
+                        None if message.starts_with('l') => frame("l -"),
+                        None => continue,
                     };
                     let _ = send.send(first);
-                    let answer = frame(&format!("a {id} served 1 -\nV"));
                     if stream.write_all(&answer).is_err() {
                         return;
                     }
