--- a/tests/soak/discovery.rs
+++ b/tests/soak/discovery.rs
@@ -184,6 +184,17 @@
         }
     }
 
+    /// Waits until discovery has been up for `duration` without a break, from now on.
+    pub fn wait_while_up_for(&self, duration: Duration) {
+        let mut up_since = Instant::now();
+        while up_since.elapsed() < duration {
+            std::thread::sleep(Duration::from_millis(5));
+            if self.down.load(Ordering::SeqCst) {
+                up_since = Instant::now();
+            }
+        }
+    }
+
     /// Makes discovery hang: calls are accepted and not answered, and those that are pending when it continues
     /// stay silent.
     pub fn set_hangs(&self, hangs: bool) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -236,6 +236,7 @@
             Disruption::NodeRestarts { node } => discovery.restart(&nodes[node]),
             Disruption::NodeDrains { node } => {
                 discovery.wait_until_up();
+                nodes[node].wait_until_ready();
                 discovery.drain(&nodes[node], true);
                 wait();
                 discovery.drain(&nodes[node], false);
@@ -246,10 +247,11 @@
                 discovery.set_down(false);
             }
             Disruption::DiscoveryHangs { node } => {
+                nodes[node].wait_until_ready();
                 discovery.set_hangs(true);
                 std::thread::sleep(DRAIN_AFTER_HANG);
                 discovery.drain(&nodes[node], true);
-                wait();
+                discovery.wait_while_up_for(planned.duration);
                 discovery.set_hangs(false);
                 std::thread::sleep(DRAIN_BEYOND_HANG);
                 discovery.drain(&nodes[node], false);
--- a/tests/soak/servers.rs
+++ b/tests/soak/servers.rs
@@ -106,6 +106,13 @@
         self.reset();
     }
 
+    /// Waits until the node does not drain.
+    pub fn wait_until_ready(&self) {
+        while self.drains.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Returns the start time as given in the endpoint list.
     pub fn start_unix_ms(&self) -> u128 {
         let started = self.started.lock().expect("not poisoned");
--- a/tests/stale_lists/main.rs
+++ b/tests/stale_lists/main.rs
@@ -7,6 +7,7 @@
 
 use std::process::Command;
 use std::sync::mpsc::{channel, Receiver};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use common::scripted_discovery::{answer_bytes, ScriptedDiscovery};
@@ -97,6 +98,18 @@
     last_send.saturating_duration_since(changed_at)
 }
 
+/// Waits for all runs, so that each has ended its program before one of them fails the test.
+fn join_all<N: std::fmt::Debug, T, const RUNS: usize>(runs: [(N, JoinHandle<T>); RUNS]) -> Vec<(N, T)> {
+    let joined = runs.map(|(name, run)| (name, run.join()));
+    joined
+        .into_iter()
+        .map(|(name, result)| match result {
+            Ok(value) => (name, value),
+            Err(_) => panic!("{name:?} failed"),
+        })
+        .collect()
+}
+
 /// Guards against parts sent to a data node whose drain was missed because calls fell silent or failed (issue 61).
 #[test]
 fn a_polled_list_is_not_used_once_a_missed_drain_counts_as_notified() {
@@ -111,8 +124,7 @@
     let runs = troubles.map(|trouble| {
         (trouble, std::thread::spawn(move || last_send_in_trouble(trouble, Delivery::Polled, watched_for)))
     });
-    for (trouble, run) in runs {
-        let after = run.join().unwrap_or_else(|_| panic!("{trouble:?}"));
+    for (trouble, after) in join_all(runs) {
         assert!(after < NOTIFIED_WITHIN + DRAIN_GRACE, "{trouble:?}: a part {after:?} after the drain");
     }
 }
@@ -139,8 +151,7 @@
     let stalls = [10, 30, 50, 70, 90, 110].map(Duration::from_millis);
     let runs = stalls
         .map(|stall_after| (stall_after, std::thread::spawn(move || last_send_with_stall(stall_after))));
-    for (stall_after, run) in runs {
-        let after = run.join().unwrap_or_else(|_| panic!("{stall_after:?}"));
+    for (stall_after, after) in join_all(runs) {
         assert!(after < DRAIN_GRACE, "stall after {stall_after:?}: a part {after:?} after the drain");
     }
 }
