Show each trouble of discovery by itself, and two changes of address before an answer

Change: a table test names all runs in which a part went out too late. New: nothing_is_sent_after_two_changes_of_address_...: the second address writes a drain to a watch that a second reload has dropped.

--- a/tests/stale_lists/main.rs
+++ b/tests/stale_lists/main.rs
@@ -56,28 +56,46 @@
     }
 }
 
-/// Answers each call with the same list, until `stop` is received.
-fn serve(discovery: &ScriptedDiscovery, list: &str, stop: &Receiver<()>) {
-    while stop.try_recv().is_err() {
+/// Answers each call with the same list, at least one, until `stop` is received. Returns when the last answer
+/// was written.
+fn serve(discovery: &ScriptedDiscovery, list: &str, stop: &Receiver<()>) -> Option<Instant> {
+    let mut written_at = None;
+    while written_at.is_none() || stop.try_recv().is_err() {
         if let Ok(call) = discovery.calls.recv_timeout(Duration::from_millis(20)) {
+            written_at = Some(Instant::now());
             call.answer(list);
         }
     }
+    written_at
+}
+
+/// Answers calls with the given version of the list until a query is served. Returns the discovery, which has
+/// stopped answering, and when it wrote its last answer.
+fn serve_until_query_succeeds(
+    rig: &mut Rig,
+    discovery: ScriptedDiscovery,
+    seq: u32,
+) -> (ScriptedDiscovery, Instant) {
+    let list = rig.list(seq, true, "up");
+    let (stop, stopped) = channel();
+    let serving = std::thread::spawn(move || {
+        let written_at = serve(&discovery, &list, &stopped);
+        (discovery, written_at)
+    });
+    rig.query_until(200);
+    stop.send(()).expect("running");
+    let (discovery, written_at) = serving.join().expect("no panic");
+    (discovery, written_at.expect("an answer"))
 }
 
 /// Runs a coordinator whose discovery has answered once and is then in trouble. Returns how long after the last
 /// answer the last part was sent.
 fn last_send_in_trouble(trouble: Trouble, delivery: Delivery, watched_for: Duration) -> Duration {
     let mut rig = Rig::start(&format!("{}-{delivery:?}", trouble.name()), delivery);
-    let first = rig.discovery.next();
-    let list = rig.list(2, true, "up");
-    first.answer(&list);
-    rig.program.wait_for_log("entries: 1, whole: true, seq: 2");
-    rig.query_until(200);
-    // A drain that discovery has from here on does not arrive.
-    let changed_at = Instant::now();
-    let (stop, stopped) = channel();
     let discovery = std::mem::replace(&mut rig.discovery, ScriptedDiscovery::start());
+    // A drain that discovery has from its last answer on does not arrive.
+    let (discovery, changed_at) = serve_until_query_succeeds(&mut rig, discovery, 2);
+    let (stop, stopped) = channel();
     let troubled = std::thread::spawn(move || {
         trouble.run(&discovery, &stopped);
         discovery
@@ -89,12 +107,7 @@
     stop.send(()).expect("running");
     let discovery = troubled.join().expect("no panic");
     // The next answer brings the service back.
-    let list = rig.list(3, true, "up");
-    let (stop, stopped) = channel();
-    let serving = std::thread::spawn(move || serve(&discovery, &list, &stopped));
-    rig.query_until(200);
-    stop.send(()).expect("running");
-    serving.join().expect("no panic");
+    serve_until_query_succeeds(&mut rig, discovery, 3);
     last_send.saturating_duration_since(changed_at)
 }
 
@@ -110,6 +123,12 @@
         .collect()
 }
 
+/// Asserts that in no run a part was sent `bound` after the drain or later. Names all runs in which one was.
+fn assert_none_later_than<N: std::fmt::Debug>(bound: Duration, last_sends: &[(N, Duration)]) {
+    let late: Vec<_> = last_sends.iter().filter(|(_, after)| *after >= bound).collect();
+    assert!(late.is_empty(), "last parts after the drain, {bound:?} allowed: {late:?}");
+}
+
 /// Guards against parts sent to a data node whose drain was missed because calls fell silent or failed (issue 61).
 #[test]
 fn a_polled_list_is_not_used_once_a_missed_drain_counts_as_notified() {
@@ -124,9 +143,7 @@
     let runs = troubles.map(|trouble| {
         (trouble, std::thread::spawn(move || last_send_in_trouble(trouble, Delivery::Polled, watched_for)))
     });
-    for (trouble, after) in join_all(runs) {
-        assert!(after < NOTIFIED_WITHIN + DRAIN_GRACE, "{trouble:?}: a part {after:?} after the drain");
-    }
+    assert_none_later_than(NOTIFIED_WITHIN + DRAIN_GRACE, &join_all(runs));
 }
 
 /// Guards against parts sent by the list of an agent that no longer answers: what it has counts as notified at
@@ -138,10 +155,7 @@
     let runs = troubles.map(|trouble| {
         (trouble, std::thread::spawn(move || last_send_in_trouble(trouble, Delivery::Pushed, watched_for)))
     });
-    for (trouble, run) in runs {
-        let after = run.join().unwrap_or_else(|_| panic!("{trouble:?}"));
-        assert!(after < DRAIN_GRACE, "{trouble:?}: a part {after:?} after the drain");
-    }
+    assert_none_later_than(DRAIN_GRACE, &join_all(runs));
 }
 
 /// Guards against a send that is checked before a process stalls and written after it: agents fall silent, and
@@ -151,9 +165,7 @@
     let stalls = [10, 30, 50, 70, 90, 110].map(Duration::from_millis);
     let runs = stalls
         .map(|stall_after| (stall_after, std::thread::spawn(move || last_send_with_stall(stall_after))));
-    for (stall_after, after) in join_all(runs) {
-        assert!(after < DRAIN_GRACE, "stall after {stall_after:?}: a part {after:?} after the drain");
-    }
+    assert_none_later_than(DRAIN_GRACE, &join_all(runs));
 }
 
 /// Runs a coordinator whose agent falls silent, and which stalls `stall_after` the first silent call. Returns how
@@ -161,21 +173,12 @@
 fn last_send_with_stall(stall_after: Duration) -> Duration {
     const STALL: Duration = Duration::from_millis(150);
     let mut rig = Rig::start(&format!("stall-{}", stall_after.as_millis()), Delivery::Pushed);
-    let list = rig.list(2, true, "up");
-    let (stop, stopped) = channel();
-    let discovery = std::mem::replace(&mut rig.discovery, ScriptedDiscovery::start());
-    let serving = std::thread::spawn(move || {
-        serve(&discovery, &list, &stopped);
-        discovery
-    });
-    rig.query_until(200);
     let program = rig.program.child.id().to_string();
     let signal = move |name: &str| {
         assert!(Command::new("kill").args([name, &program]).status().expect("kill runs").success());
     };
-    stop.send(()).expect("running");
-    let _silent = serving.join().expect("no panic");
-    let changed_at = Instant::now();
+    let discovery = std::mem::replace(&mut rig.discovery, ScriptedDiscovery::start());
+    let (_silent, changed_at) = serve_until_query_succeeds(&mut rig, discovery, 2);
     let stalling = std::thread::spawn(move || {
         std::thread::sleep(stall_after);
         signal("-STOP");
@@ -258,8 +261,7 @@
     rig.last_send();
     let previous_call = rig.discovery.next();
     let new = ScriptedDiscovery::start();
-    replace_in_configuration(&rig.folder, &rig.discovery.address.to_string(), &new.address.to_string());
-    rig.program.signal("-HUP");
+    rig.move_discovery(rig.discovery.address, new.address);
     let new_call = new.next();
     assert!(new_call.requests_complete_list(), "{}", new_call.head);
     previous_call.answer(&rig.list(3, false, "draining"));
@@ -278,6 +280,28 @@
     assert_eq!(rig.query(), 200);
 }
 
+/// Guards against a drain that is lost with the watch at an address that a second reload replaced before its first
+/// answer had arrived.
+#[test]
+fn nothing_is_sent_after_two_changes_of_address_until_the_last_address_has_answered() {
+    let mut rig = Rig::start("moved-twice", Delivery::Polled);
+    rig.discovery.next().answer(&rig.list(2, true, "up"));
+    rig.query_until(200);
+    let _previous_call = rig.discovery.next();
+    let (second, last) = (ScriptedDiscovery::start(), ScriptedDiscovery::start());
+    rig.move_discovery(rig.discovery.address, second.address);
+    let lost_call = second.next();
+    assert_eq!(rig.query(), 200, "the first address has answered within the validity of its list");
+    rig.move_discovery(second.address, last.address);
+    let last_call = last.next();
+    rig.last_send();
+    lost_call.answer(&rig.list(7, true, "draining"));
+    assert_eq!(rig.query(), 503);
+    assert_eq!(rig.last_send(), None, "a part to a data node whose drain was written");
+    last_call.answer(&rig.list(1, true, "up"));
+    rig.query_until(200);
+}
+
 /// Guards against rejections in the short gap in which an agent's next answer is late.
 #[test]
 fn a_part_waits_for_a_list_that_arrives_just_after_the_last_one_expired() {
--- a/tests/stale_lists/rig.rs
+++ b/tests/stale_lists/rig.rs
@@ -58,6 +58,12 @@
         format!("{{\"seq\":{seq},\"whole\":{whole},\"hosts\":[{host}]}}")
     }
 
+    /// Replaces the address of discovery in the configuration, and has the program reload it.
+    pub fn move_discovery(&self, from: SocketAddr, to: SocketAddr) {
+        replace_in_configuration(&self.folder, &from.to_string(), &to.to_string());
+        self.program.signal("-HUP");
+    }
+
     /// Replaces the client's connection, which the program closes when it has been idle for long.
     pub fn reconnect(&mut self) {
         self.client = connect(self.program.address);
