Accept an agent's answers that are late but still renew the lease on the list

A call was given up when its answer still permitted sends (for 0.1 s after the wait), and repeated on a new connection, so that no answer ever arrived.

Change: AGENT_ANSWER_SLACK is 100 ms, all the time within which an answer renews the lease; an assertion ties it to the grace and the stall. A later answer proves nothing that still permits a send.

--- a/src/net/discovery/watch_policy.rs
+++ b/src/net/discovery/watch_policy.rs
@@ -31,8 +31,11 @@
 const DRAIN_GRACE: Duration = Duration::from_millis(250);
 /// Time for which an agent may hold a call.
 const AGENT_POLL_WAIT: Duration = Duration::from_millis(50);
-/// Time after the end of a call's wait within which an agent's answer may arrive.
-const AGENT_ANSWER_SLACK: Duration = Duration::from_millis(50);
+/// Time after the end of a call's wait within which an agent's answer may arrive. A later one would not renew the
+/// lease on the list.
+const AGENT_ANSWER_SLACK: Duration = Duration::from_millis(100);
+const _: () =
+    assert!(AGENT_ANSWER_SLACK.as_millis() + MAX_PROCESS_STALL.as_millis() <= DRAIN_GRACE.as_millis());
 /// The next empty answer of an agent arrives while the list is valid, unless it is late.
 const _: () = assert!(AGENT_POLL_WAIT.as_millis() + MAX_PROCESS_STALL.as_millis() < DRAIN_GRACE.as_millis());
 /// Time after an answer within which the next call must be made for the watch to continue.
--- a/tests/stale_lists/main.rs
+++ b/tests/stale_lists/main.rs
@@ -320,3 +320,37 @@
     });
     drop(silent);
 }
+
+/// Guards against a coordinator that stops serving because its agent answers late, although each answer still
+/// permits sends for the rest of the grace (issue 61).
+#[test]
+fn a_pushed_list_is_used_although_its_agent_answers_late() {
+    const DELAY: Duration = Duration::from_millis(60);
+    const ROUNDS: usize = 3;
+    const CALLS_BETWEEN_ROUNDS: usize = 5;
+    let mut rig = Rig::start("late", Delivery::Pushed);
+    let list = rig.list(2, true, "up");
+    let agent = std::mem::replace(&mut rig.discovery, ScriptedDiscovery::start());
+    let (answered, answers) = channel();
+    let serving = std::thread::spawn(move || {
+        let mut connections = 0;
+        while let Ok(call) = agent.calls.recv_timeout(TEST_TIMEOUT) {
+            connections = call.connection + 1;
+            std::thread::sleep(call.wait() + DELAY);
+            call.answer(&list);
+            if answered.send(()).is_err() {
+                break;
+            }
+        }
+        connections
+    });
+    for _ in 0..ROUNDS {
+        for _ in 0..CALLS_BETWEEN_ROUNDS {
+            answers.recv_timeout(TEST_TIMEOUT).expect("an answer");
+        }
+        rig.query_until(200);
+    }
+    drop(answers);
+    let connections = serving.join().expect("no panic");
+    assert!(connections < ROUNDS * CALLS_BETWEEN_ROUNDS / 2, "{connections} connections to the agent");
+}
