--- a/src/net/data_nodes/lease.rs
+++ b/src/net/data_nodes/lease.rs
@@ -13,7 +13,7 @@
 use crate::coordinator::CancellationToken;
 use crate::net::invariants;
 use crate::net::timeout_at;
-use crate::send_policy::{EndpointLease, SendDenied};
+use crate::send_policy::{EndpointLease, LeaseInvalid, SendDenied};
 
 /// Time for which an attempt waits for a valid list. A call of discovery that is repeated at once is usually
 /// answered within it, and all attempts of a part together wait for less than half of a short deadline.
@@ -51,6 +51,11 @@
         self.lease.get()
     }
 
+    /// Returns why attempts may not be sent by the current list, or `None` if they may.
+    pub fn list_invalid(&self) -> Option<LeaseInvalid> {
+        self.lease.get().and_then(|lease| lease.check(Instant::now()).err())
+    }
+
     /// Completes when the lease has been changed. Cancel safe.
     pub async fn lease_changed(&self) {
         self.lease_changed.listen().await;
--- a/src/net/discovery/log.rs
+++ b/src/net/discovery/log.rs
@@ -25,7 +25,7 @@
     pub(super) async fn log_lease<T>(&self) -> T {
         loop {
             let invalid_since = self.until_invalid().await;
-            let reason = self.data_nodes.lease().and_then(|lease| lease.check(Instant::now()).err());
+            let reason = self.data_nodes.list_invalid();
             if let Some(suppressed) = self.log_limiter.permit() {
                 warn!(self.log, "endpoint list not valid, nothing is sent";
                     "reason" => reason.map(|reason| reason.to_string()),
@@ -55,7 +55,7 @@
     }
 
     async fn until_valid(&self) {
-        while self.data_nodes.lease().is_some_and(|lease| lease.check(Instant::now()).is_err()) {
+        while self.data_nodes.list_invalid().is_some() {
             self.data_nodes.lease_changed().await;
         }
     }
--- a/src/net/platform_api/mod.rs
+++ b/src/net/platform_api/mod.rs
@@ -33,6 +33,8 @@
 pub struct PlatformApi {
     /// Runs the queries.
     pub coordinator: Rc<Coordinator<DataNodes>>,
+    /// State of the list by which queries are sent, for the log.
+    pub data_nodes: Rc<DataNodes>,
     /// Classes, tenants and shards of the deployment.
     pub deployment: Rc<Deployment>,
     /// Bounds the deadlines of queries once the process shuts down.
@@ -165,8 +167,10 @@
             Ok(QueryOutcome::Answered { .. }) => {}
             Ok(outcome) => {
                 if let Some(suppressed) = self.log_limiters.unanswered.permit() {
+                    let list_invalid = self.data_nodes.list_invalid().map(|reason| reason.to_string());
                     info!(self.log, "query not answered"; "outcome" => ?outcome, "id" => &labels.id,
-                        "class" => &labels.class, "after_ms" => after_ms, "suppressed" => suppressed);
+                        "class" => &labels.class, "after_ms" => after_ms, "suppressed" => suppressed,
+                        "list_invalid" => list_invalid);
                 }
             }
             Err(e) => {
--- a/src/server/platform.rs
+++ b/src/server/platform.rs
@@ -39,14 +39,14 @@
         platform.discovery,
         discovery_address_changes,
         coordinator.clone(),
-        nodes,
+        nodes.clone(),
         watch_policy,
         *seed,
         log.clone(),
     );
     let address = bound_address(&listener, platform.listen);
     info!(log, "listening"; "name" => &platform.name, "address" => %address);
-    let front = new_front(startup, deployment, coordinator.clone());
+    let front = new_front(startup, deployment, nodes, coordinator.clone());
     let accepting = startup.accept(listener, descriptors, move |client| front.clone().serve(client));
     let follow_discovery = async move {
         // Checked above: an unreadable list has ended the startup.
@@ -73,10 +73,12 @@
 fn new_front(
     startup: &Startup,
     deployment: Rc<Deployment>,
+    data_nodes: Rc<DataNodes>,
     coordinator: Rc<Coordinator<DataNodes>>,
 ) -> Rc<PlatformApi> {
     Rc::new(PlatformApi {
         coordinator,
+        data_nodes,
         deployment,
         shutdown: startup.shutdown.clone(),
         used_ids: Default::default(),
--- a/tests/stale_lists/main.rs
+++ b/tests/stale_lists/main.rs
@@ -245,6 +245,8 @@
     let last_send = rig.last_send().expect("a part");
     let after = last_send.saturating_duration_since(written_at);
     assert!(after < DRAIN_GRACE, "a part {after:?} after the drain was written");
+    let line = rig.program.wait_for_log("query not answered");
+    assert!(line.contains("list_invalid: an answer of discovery was lost"), "{line}");
     call.write(end);
     rig.program.wait_for_log("entries: 1, whole: false, seq: 3");
     assert_eq!(rig.query(), 503);
