Count drains in the soak as notified after 6 s across restarts, and wait for each fault

Need: the soak's check of missed drains counted the 6 s anew from the start of each process, so that it could not see parts sent by an old known list.

Change: a drain counts as notified 6 s after it was made and discovery could be reached, whatever process runs, but not before a new process's first call is over (2.5 s). A planted violation shows that the check sees it. A system call fault that has not fired stays armed for up to 3 s longer; the check that each fired stays.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -46,6 +46,10 @@
 const DRAIN_AFTER_HANG: Duration = Duration::from_millis(30);
 const DRAIN_BEYOND_HANG: Duration = Duration::from_millis(400);
 
+/// How much longer a system call fault stays armed that has not fired yet.
+const MAX_WAIT_FOR_FAULT: Duration = Duration::from_secs(3);
+const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The size of a run, configured by environment variables.
 struct Size {
     coordinators: usize,
@@ -286,7 +290,12 @@
         {
             self.nodes.iter().for_each(|node| node.reset());
         }
+        let started = Instant::now();
         std::thread::sleep(duration);
+        let fired = || all.iter().any(|c| c.plan.fired(fault).expect("read") > 0);
+        while !fired() && started.elapsed() < duration + MAX_WAIT_FOR_FAULT {
+            std::thread::sleep(FAULT_POLL_INTERVAL);
+        }
         all.iter().for_each(|c| c.plan.disarm(fault).expect("disarmed"));
     }
 }
--- a/tests/soak/missed_drains.rs
+++ b/tests/soak/missed_drains.rs
@@ -8,6 +8,9 @@
 
 /// The time after which a change counts as notified, and the time after which a silent watch has missed it.
 const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
+/// The time from the start of a process after which its first call has failed or was given up. Changes that
+/// were made earlier do not count as notified to it before.
+const FIRST_CALL_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// The state of discovery at some moment, in order of the events.
 #[derive(Default)]
@@ -40,16 +43,16 @@
 
     /// Returns when the drain of a node counts as notified to a coordinator, although it has not arrived.
     fn notified_at(&self, coordinator: usize, node: usize) -> Option<Instant> {
-        let started = self.started.get(&coordinator).copied();
         let since = *self.draining_since.get(&node)?;
         if self.is_down {
             return None;
         }
-        let reachable_since = since.max(self.last_down.unwrap_or(since)).max(started.unwrap_or(since));
+        let reachable_since = self.last_down.map_or(since, |down| since.max(down));
         let made = reachable_since + NOTIFIED_WITHIN;
-        let silent =
-            self.hanging_since.map(|at| reachable_since.max(at.max(started.unwrap_or(at)) + NOTIFIED_WITHIN));
-        Some(silent.map_or(made, |silent| silent.min(made)))
+        let silent = self.hanging_since.map(|at| reachable_since.max(at + NOTIFIED_WITHIN));
+        let notified_at = silent.map_or(made, |silent| silent.min(made));
+        let first_call_over = self.started.get(&coordinator).map(|at| *at + FIRST_CALL_TIMEOUT);
+        Some(first_call_over.map_or(notified_at, |over| notified_at.max(over)))
     }
 }
 
--- a/tests/soak/oracle.rs
+++ b/tests/soak/oracle.rs
@@ -296,6 +296,12 @@
             run.insert(2, (start + ms(100), Event::DiscoveryDown { down: false }));
             run.push((start + ms(6700), began(start + ms(6700))));
         });
+        detects("missed drain", |run, start| {
+            run.insert(0, (start, Event::DiscoveryHangs { hangs: true }));
+            run.insert(1, (start, Event::DrainMade { node: 0, drains: true }));
+            run.push((start + ms(5000), Event::Started { coordinator: 0 }));
+            run.push((start + ms(8100), began(start + ms(8100))));
+        });
         detects("memory", |run, start| {
             run.push((start, Event::PeakMemory { coordinator: 0, kb: MEMORY_KB }))
         });
